--- /dev/null
+++ b/cmd/lycheepick/node.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"lycheepick/internal/node/admin"
+	"lycheepick/internal/state/member"
+)
+
+const nodeUsage = `lycheepick node shows the nodes and the backend servers.
+
+usage: lycheepick node status --node ADDR --secret-file FILE
+
+  --node ADDR   the peer address of any node
+
+It prints a line for each node, as that node says itself, and a line for each backend
+server, as the node at ADDR sees it.
+
+exit status: 0 done, 2 bad usage, 3 the node is unreachable
+`
+
+type nodeCmd struct {
+	Status *nodeStatus `arg:"subcommand:status"`
+}
+
+func (*nodeCmd) usage() string { return nodeUsage }
+
+func (*nodeCmd) run(context.Context, io.Writer) error {
+	return errUsage{fmt.Errorf("node: say status")}
+}
+
+type nodeStatus struct{ platform }
+
+func (*nodeStatus) usage() string { return nodeUsage }
+
+func (ns *nodeStatus) run(ctx context.Context, out io.Writer) error {
+	pool, err := ns.pool()
+	if err != nil {
+		return err
+	}
+	defer pool.Close()
+	nodes, err := admin.NodeStatuses(ctx, pool, ns.Node)
+	if err != nil {
+		return err
+	}
+	for _, st := range nodes {
+		_, _ = fmt.Fprintf(out, "node=%s zone=%s address=%s state=%s reachable=%t ready=%t table_version=%d in_flight=%d\n",
+			st.Node, st.Zone, st.Address, st.State, st.Err == nil, st.Ready, st.Version, st.InFlight)
+	}
+	_, list, err := admin.Status(ctx, pool, ns.Node)
+	if err != nil {
+		return err
+	}
+	for _, me := range list {
+		if me.Role != member.RoleNode {
+			_, _ = fmt.Fprintf(out, "server=%s role=%s target=%s zone=%s class=%s address=%s state=%s incarnation=%d\n",
+				me.VM, me.Role, me.Target, me.Zone, me.Class, me.Address, me.State, me.Incarnation)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/lycheepickd/main.go
@@ -0,0 +1,100 @@
+// Command lycheepickd is the daemon that runs on each entry VM.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"lycheepick/internal/node/config"
+	"lycheepick/internal/node/daemon"
+	"lycheepick/internal/node/logger"
+)
+
+const usage = `lycheepickd serves callers on one entry VM.
+
+usage: lycheepickd --config FILE [--check]
+
+  --config FILE   the settings, a JSON file (docs/SETTINGS.md lists the fields)
+  --check         check the settings and the secret, and exit
+  --version       print the version and exit
+
+The daemon logs to standard error, one line of key=value pairs an event. On SIGTERM or
+SIGINT it leaves in order: it goes unready, lets requests end for timing.grace, hands the
+rest to a peer and exits.
+
+exit status: 0 ended in order, 1 failed, 2 bad usage or settings
+`
+
+type args struct {
+	Config  string `arg:"--config" help:"settings file"`
+	Check   bool   `arg:"--check" help:"check the settings and exit"`
+	Version bool   `arg:"--version" help:"print the version"`
+}
+
+// Exit statuses.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(argv []string) int {
+	var ar args
+	ps, err := arg.NewParser(arg.Config{Program: "lycheepickd"}, &ar)
+	if err != nil {
+		return complain(err)
+	}
+	switch err := ps.Parse(argv); {
+	case err == arg.ErrHelp:
+		fmt.Print(usage)
+		return 0
+	case err != nil:
+		return complain(err)
+	case ar.Version:
+		fmt.Println("lycheepickd " + daemon.Version)
+		return 0
+	case ar.Config == "":
+		fmt.Fprint(os.Stderr, usage)
+		return exitUsage
+	}
+	return serve(&ar)
+}
+
+func serve(ar *args) int {
+	set, err := config.Load(ar.Config)
+	if err != nil {
+		return complain(err)
+	}
+	secret, err := set.Secret.Read()
+	if err != nil {
+		return complain(err)
+	}
+	if ar.Check {
+		fmt.Println("settings are good")
+		return 0
+	}
+	log, err := logger.New(set.Log.Level, string(set.VM.ID))
+	if err != nil {
+		return complain(err)
+	}
+	debug.SetMemoryLimit(int64(set.Limits.MemoryBytes))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := daemon.New(set, secret, log).Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "lycheepickd:", err)
+		return exitFailed
+	}
+	return 0
+}
+
+func complain(err error) int {
+	fmt.Fprintln(os.Stderr, "lycheepickd:", err)
+	return exitUsage
+}
--- /dev/null
+++ b/cmd/standin/balancer.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"context"
+
+	"lycheepick/internal/fake/stand"
+)
+
+const balancerUsage = `standin balancer is a stand-in of the platform's balancer.
+
+usage: standin balancer --listen ADDR NODE...
+
+  --listen ADDR   host:port to listen on
+  NODE            the caller address of a node
+
+Connections go to the nodes whose /readyz answers 200, in turn.
+`
+
+type balancerCmd struct {
+	Listen string   `arg:"--listen,required"`
+	Nodes  []string `arg:"positional,required"`
+}
+
+func (*balancerCmd) usage() string { return balancerUsage }
+
+func (ba *balancerCmd) run(ctx context.Context) error {
+	return stand.NewBalancer(ba.Nodes).Serve(ctx, ba.Listen)
+}
--- /dev/null
+++ b/cmd/standin/cloud.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"lycheepick/internal/fake/stand"
+)
+
+const cloudUsage = `standin cloud is a stand-in of the platform's VM list and cloud API.
+
+usage: standin cloud --listen ADDR [--lag D]
+
+  --listen ADDR   host:port to listen on
+  --lag D         how old the VM list is (default: 0s)
+
+Admin: POST /admin/vms [VM...], /admin/remove ["id"...], /admin/prices [PRICE...],
+/admin/reclaim {"zone","vms","in","exit"}, /admin/fault {"down","slow"}.
+`
+
+type cloudCmd struct {
+	Listen string        `arg:"--listen,required"`
+	Lag    time.Duration `arg:"--lag" default:"0s"`
+}
+
+func (*cloudCmd) usage() string { return cloudUsage }
+
+func (cl *cloudCmd) run(ctx context.Context) error {
+	return stand.Serve(ctx, stand.NewCloud(cl.Lag).App(), cl.Listen, nil)
+}
--- /dev/null
+++ b/cmd/standin/engine.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"lycheepick/internal/fake/stand"
+	"lycheepick/internal/rule/units"
+)
+
+const engineUsage = `standin engine is a stand-in of a model engine.
+
+usage: standin engine --listen ADDR [--model M] [--slots N] [--step D] [--prefill R]
+                      [--kv-rate B] [--kv-token B]
+
+  --listen ADDR   host:port to listen on
+  --model M       the model that it offers (default: small)
+  --slots N       requests in the batch (default: 16)
+  --step D        time of a decode step (default: 5ms)
+  --prefill R     prompt tokens computed a second (default: 20000)
+  --kv-rate B     bytes of KV cache imported a second (default: 1e9)
+  --kv-token B    bytes of KV cache a token (default: 131072)
+
+Admin: POST /admin/fault {"down","slow","refuse","speed"}, /admin/drain, /admin/exit;
+GET /admin/stats.
+`
+
+type engineCmd struct {
+	Listen  string        `arg:"--listen,required"`
+	Model   string        `arg:"--model" default:"small"`
+	Slots   int           `arg:"--slots" default:"16"`
+	Step    time.Duration `arg:"--step" default:"5ms"`
+	Prefill float64       `arg:"--prefill" default:"20000"`
+	KVRate  float64       `arg:"--kv-rate" default:"1e9"`
+	KVToken int64         `arg:"--kv-token" default:"131072"`
+}
+
+func (*engineCmd) usage() string { return engineUsage }
+
+func (en *engineCmd) run(ctx context.Context) error {
+	app := stand.NewEngine(stand.EngineConfig{
+		Model: units.TargetID(en.Model), Slots: en.Slots, Step: en.Step,
+		PrefillRate: units.TokensPerSecond(en.Prefill),
+		KVRate:      units.BytesPerSecond(en.KVRate), KVPerToken: units.Bytes(en.KVToken),
+	}).App()
+	return stand.Serve(ctx, app, en.Listen, nil)
+}
--- /dev/null
+++ b/cmd/standin/load.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lycheepick/internal/fake/stand"
+	"lycheepick/internal/rule/units"
+)
+
+const loadUsage = `standin load sends an open-loop load and checks every answer.
+
+usage: standin load --to ADDR --key KEY [--rate R] [--for D] [--streamed S] [--plain S]
+                    [--tokens N] [--prompt B] [--prefixes N] [--seed N] [--direct]
+
+  --to ADDR       host:port of a node, the balancer, or with --direct an engine
+  --key KEY       the API key
+  --model M       the model (default: small)
+  --service S     the plain service (default: notify)
+  --rate R        requests a second (default: 20)
+  --for D         how long (default: 10s)
+  --streamed S    share of streamed model requests (default: 0.5)
+  --plain S       share of requests to the plain service (default: 0.2)
+  --tokens N      tokens of an answer (default: 32)
+  --prompt B      bytes of a prompt (default: 2048)
+  --prefixes N    number of different beginnings of prompts (default: 8)
+  --deadline D    sent as X-Deadline if set
+  --seed N        the seed of the load (default: 1)
+  --direct        speak as a node does to an engine, for comparison
+  --allow-unknown exit 0 even if outcomes were unknown
+
+exit status: 0 all answers were whole and right or refused as not_run, 1 otherwise
+`
+
+type loadCmd struct {
+	To           string        `arg:"--to,required"`
+	Key          string        `arg:"--key"`
+	Model        string        `arg:"--model" default:"small"`
+	Service      string        `arg:"--service" default:"notify"`
+	Rate         float64       `arg:"--rate" default:"20"`
+	For          time.Duration `arg:"--for" default:"10s"`
+	Streamed     float64       `arg:"--streamed" default:"0.5"`
+	Plain        float64       `arg:"--plain" default:"0.2"`
+	Tokens       int           `arg:"--tokens" default:"32"`
+	Prompt       int           `arg:"--prompt" default:"2048"`
+	Prefixes     int           `arg:"--prefixes" default:"8"`
+	Deadline     time.Duration `arg:"--deadline"`
+	Seed         uint64        `arg:"--seed" default:"1"`
+	Direct       bool          `arg:"--direct"`
+	AllowUnknown bool          `arg:"--allow-unknown"`
+}
+
+func (*loadCmd) usage() string { return loadUsage }
+
+func (lo *loadCmd) run(ctx context.Context) error {
+	re := stand.Load(ctx, stand.LoadConfig{
+		Address: lo.To, APIKey: lo.Key, Model: units.TargetID(lo.Model), Service: units.TargetID(lo.Service),
+		Rate: lo.Rate, For: lo.For, Streamed: lo.Streamed, Plain: lo.Plain, Tokens: lo.Tokens,
+		PromptBytes: lo.Prompt, Prefixes: lo.Prefixes, Seed: lo.Seed, Deadline: lo.Deadline, Direct: lo.Direct,
+	})
+	fmt.Print(re.Summary())
+	if re.Wrong > 0 {
+		return errors.Errorf("%d wrong answers", re.Wrong)
+	}
+	if re.Unknown > 0 && !lo.AllowUnknown {
+		return errors.Errorf("%d unknown outcomes", re.Unknown)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/standin/plain.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"context"
+
+	"lycheepick/internal/fake/stand"
+)
+
+const plainUsage = `standin plain is a stand-in of a plain service.
+
+usage: standin plain --listen ADDR [--name S]
+
+  --listen ADDR   host:port to listen on
+  --name S        the service's name (default: notify)
+
+Admin: POST /admin/fault {"down","slow","refuse","lose_answers","lose_next"}, /admin/drain;
+GET /admin/runs counts the runs by request body.
+`
+
+type plainCmd struct {
+	Listen string `arg:"--listen,required"`
+	Name   string `arg:"--name" default:"notify"`
+}
+
+func (*plainCmd) usage() string { return plainUsage }
+
+func (pl *plainCmd) run(ctx context.Context) error {
+	return stand.Serve(ctx, stand.NewPlain(pl.Name).App(), pl.Listen, nil)
+}
--- /dev/null
+++ b/internal/edge/call/body.go
@@ -0,0 +1,95 @@
+package call
+
+import (
+	"bufio"
+	"io"
+	"net/http/httputil"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Body reads the body of an answer.
+type Body struct {
+	src   io.Reader
+	rd    *bufio.Reader
+	left  int // Bytes to come of a body with a length.
+	mode  bodyMode
+	atEnd bool
+}
+
+type bodyMode int
+
+const (
+	modeLength bodyMode = iota
+	modeChunked
+	modeUntilClose
+)
+
+func newBody(hd *fasthttp.ResponseHeader, rd *bufio.Reader) *Body {
+	const chunked, untilClose = -1, -2
+	bo := &Body{rd: rd}
+	switch size := hd.ContentLength(); size {
+	case chunked:
+		bo.mode = modeChunked
+		bo.src = httputil.NewChunkedReader(rd)
+	case untilClose:
+		bo.mode = modeUntilClose
+		bo.src = rd
+	default:
+		bo.mode = modeLength
+		bo.left = size
+		bo.src = rd
+		bo.atEnd = size == 0
+	}
+	return bo
+}
+
+// Read returns io.EOF only when the whole body was read; a connection that breaks
+// off gives io.ErrUnexpectedEOF or the error of the connection.
+func (bo *Body) Read(buf []byte) (int, error) {
+	if bo.atEnd {
+		return 0, io.EOF
+	}
+	if bo.mode == modeLength && len(buf) > bo.left {
+		buf = buf[:bo.left]
+	}
+	num, err := bo.src.Read(buf)
+	switch bo.mode {
+	case modeLength:
+		return bo.countLength(num, err)
+	case modeChunked:
+		if err == io.EOF {
+			return num, bo.endChunked()
+		}
+	case modeUntilClose:
+		if err == io.EOF {
+			bo.atEnd = true
+		}
+	}
+	return num, err
+}
+
+func (bo *Body) countLength(num int, err error) (int, error) {
+	bo.left -= num
+	if bo.left == 0 {
+		bo.atEnd = true
+		return num, nil
+	}
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return num, err
+}
+
+// endChunked reads the empty line after the last chunk, which the chunked reader
+// leaves, so that the connection can be used again.
+func (bo *Body) endChunked() error {
+	line, err := bo.rd.ReadString('\n')
+	if err != nil || (line != "\r\n" && line != "\n") {
+		return io.ErrUnexpectedEOF
+	}
+	bo.atEnd = true
+	return io.EOF
+}
+
+func (bo *Body) ended() bool { return bo != nil && bo.atEnd && bo.mode != modeUntilClose }
--- /dev/null
+++ b/internal/edge/engine/engine.go
@@ -0,0 +1,346 @@
+// Package engine is the adapter to model engines. It speaks the OpenAI format with the
+// engines' extras: resumption at a token, priority, cancellation, load reports, KV
+// export and import, cache events, and orders with a fencing number.
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lycheepick/internal/edge/call"
+	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/units"
+)
+
+// Kind tells what is known of a failed exchange with an engine.
+type Kind string
+
+// The kinds of error of this package.
+const (
+	// KindNotSent marks a request of which no byte reached the engine.
+	KindNotSent Kind = "not_sent"
+	// KindRefused marks a request that the engine refused before running it.
+	KindRefused Kind = "refused"
+	// KindDraining is KindRefused from an engine that is leaving.
+	KindDraining Kind = "draining"
+	// KindBroken marks an answer that broke off.
+	KindBroken Kind = "broken"
+	// KindInvalid marks a request that the engine found wrong; another would too.
+	KindInvalid Kind = "invalid"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Header names of the extras.
+const (
+	HeaderRequest  = "X-Request-Id"
+	HeaderAttempt  = "X-Attempt"
+	HeaderPriority = "X-Priority"
+	// HeaderRefused on an answer says that the request did not run, and why.
+	HeaderRefused = "X-Refused"
+	// RefusedDraining is the value of HeaderRefused of a server that is leaving.
+	RefusedDraining = "draining"
+)
+
+const maxErrorBytes = 64 << 10
+
+// Extras are the fields that the adapter adds to an OpenAI request.
+type Extras struct {
+	// ContinueTokens are the tokens generated before; the engine goes on after them.
+	ContinueTokens []string `json:"continue_tokens,omitempty"`
+	// KVHandle names an imported KV cache to go on from.
+	KVHandle string `json:"kv_handle,omitempty"`
+}
+
+// Prompt is one attempt of one request.
+type Prompt struct {
+	Request units.RequestID
+	Attempt units.AttemptID
+	// Path is the path of the OpenAI endpoint.
+	Path string
+	// Body is the caller's JSON object.
+	Body []byte
+	// Priority is the row's weight.
+	Priority int
+	Extras   Extras
+}
+
+// Token is one event of an answer.
+type Token struct {
+	// Index is the position in the whole answer, from 0.
+	Index int
+	Text  string
+	// Finish is the finish reason; on it, Index is the number of tokens in all.
+	Finish string
+	// PromptTokens is the engine's count of the prompt, on the last event.
+	PromptTokens units.Tokens
+	// Recomputed is the number of tokens the engine had to compute that were not
+	// in its cache, on the last event.
+	Recomputed units.Tokens
+}
+
+// Client talks to engines.
+type Client struct{ caller *call.Caller }
+
+// NewClient returns a client that keeps its connections in ca.
+func NewClient(ca *call.Caller) *Client { return &Client{caller: ca} }
+
+// Stream is an answer as it arrives. Close it after use.
+type Stream struct {
+	answer *call.Answer
+	rd     *bufio.Reader
+}
+
+// Start sends a prompt and waits for the head of the answer.
+func (cl *Client) Start(ctx context.Context, addr string, pr *Prompt) (*Stream, error) {
+	const op = "engine.Start"
+	body, err := withExtras(pr.Body, pr.Extras)
+	if err != nil {
+		return nil, fault.Wrap(op, KindInvalid, err)
+	}
+	req := newRequest(addr, fasthttp.MethodPost, pr.Path, body)
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.Set(HeaderRequest, string(pr.Request))
+	req.Header.SetBytesV(HeaderAttempt, fasthttp.AppendUint(nil, int(pr.Attempt)))
+	req.Header.SetBytesV(HeaderPriority, fasthttp.AppendUint(nil, pr.Priority))
+	an, err := cl.caller.Do(ctx, addr, req, false)
+	if err != nil {
+		return nil, fault.Wrap(op, kindOfCall(err), err)
+	}
+	if err := checkHead(an); err != nil {
+		an.Close()
+		return nil, err
+	}
+	return &Stream{answer: an, rd: bufio.NewReader(an.Body)}, nil
+}
+
+func newRequest(addr, method, path string, body []byte) *fasthttp.Request {
+	req := fasthttp.AcquireRequest()
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + addr + path)
+	req.Header.SetContentType("application/json")
+	req.SetBody(body)
+	return req
+}
+
+func kindOfCall(err error) Kind {
+	if fault.Is(err, call.KindNotSent) {
+		return KindNotSent
+	}
+	return KindBroken
+}
+
+func checkHead(an *call.Answer) error {
+	const op = "engine.checkHead"
+	code := an.Header.StatusCode()
+	if code == fasthttp.StatusOK {
+		return nil
+	}
+	text, _ := io.ReadAll(io.LimitReader(an.Body, maxErrorBytes))
+	refused := string(an.Header.Peek(HeaderRefused))
+	switch {
+	case refused == RefusedDraining:
+		return fault.New(op, KindDraining, "status %d", code)
+	case refused != "":
+		return fault.New(op, KindRefused, "status %d: %s", code, refused)
+	case code >= fasthttp.StatusBadRequest && code < fasthttp.StatusInternalServerError:
+		return fault.New(op, KindInvalid, "status %d: %s", code, bytes.TrimSpace(text))
+	}
+	return fault.New(op, KindBroken, "status %d", code)
+}
+
+// withExtras returns body with streaming asked for and the extras set.
+func withExtras(body []byte, ex Extras) ([]byte, error) {
+	fields := map[string]json.RawMessage{}
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, err
+	}
+	fields["stream"] = json.RawMessage("true")
+	raw, err := json.Marshal(ex)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(raw, &fields); err != nil {
+		return nil, err
+	}
+	return json.Marshal(fields)
+}
+
+// chunk is the part of a streamed event that the adapter reads.
+type chunk struct {
+	TokenIndex int `json:"token_index"`
+	Choices    []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage struct {
+		PromptTokens units.Tokens `json:"prompt_tokens"`
+		Recomputed   units.Tokens `json:"recomputed_tokens"`
+	} `json:"usage"`
+}
+
+// Next returns the next event. The stream ends with an event that has Finish set;
+// an answer that ends without one gives an error of kind KindBroken.
+func (sm *Stream) Next() (Token, error) {
+	const op = "engine.Next"
+	for {
+		line, err := sm.rd.ReadSlice('\n')
+		if err != nil {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return Token{}, fault.Wrap(op, KindBroken, err)
+		}
+		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte("data:"))
+		if !ok {
+			continue
+		}
+		return parseChunk(bytes.TrimSpace(data))
+	}
+}
+
+func parseChunk(data []byte) (Token, error) {
+	const op = "engine.parseChunk"
+	var ch chunk
+	if err := json.Unmarshal(data, &ch); err != nil {
+		return Token{}, fault.Wrap(op, KindBroken, err)
+	}
+	if len(ch.Choices) != 1 || ch.TokenIndex < 0 {
+		return Token{}, fault.New(op, KindBroken, "event with %d choices and index %d", len(ch.Choices), ch.TokenIndex)
+	}
+	co := ch.Choices[0]
+	return Token{
+		Index: ch.TokenIndex, Text: co.Text + co.Delta.Content, Finish: co.FinishReason,
+		PromptTokens: ch.Usage.PromptTokens, Recomputed: ch.Usage.Recomputed,
+	}, nil
+}
+
+// Close ends the exchange. After the last event the rest of the body is read, so
+// that the connection can serve again.
+func (sm *Stream) Close(finished bool) {
+	if finished {
+		_, _ = io.Copy(io.Discard, io.LimitReader(sm.rd, maxErrorBytes))
+	}
+	sm.answer.Close()
+}
+
+// Report is an engine's account of its load.
+type Report struct {
+	Target units.TargetID `json:"target"`
+	// Running and Slots count the requests in the batch and its size.
+	Running int `json:"running"`
+	Slots   int `json:"slots"`
+	// Queued counts the requests that wait for the batch.
+	Queued int `json:"queued"`
+	// QueuedTokens counts prompt tokens yet to be computed.
+	QueuedTokens units.Tokens `json:"queued_tokens"`
+	// PrefillRate is the rate at which prompts are computed.
+	PrefillRate units.TokensPerSecond `json:"prefill_rate"`
+	// Step is the time of one decode step.
+	Step     units.Duration `json:"step"`
+	Draining bool           `json:"draining"`
+	// CacheSeq is the number of the newest cache event.
+	CacheSeq int64 `json:"cache_seq"`
+}
+
+// Load asks an engine for its load report.
+func (cl *Client) Load(ctx context.Context, addr string) (Report, error) {
+	var rep Report
+	err := cl.exchange(ctx, addr, fasthttp.MethodGet, "/engine/load", nil, &rep)
+	return rep, err
+}
+
+// Cancel ends a request at the engine.
+func (cl *Client) Cancel(ctx context.Context, addr string, rq units.RequestID, att units.AttemptID) error {
+	in := cancelOrder{Request: rq, Attempt: att}
+	return cl.exchange(ctx, addr, fasthttp.MethodPost, "/engine/cancel", in, nil)
+}
+
+type cancelOrder struct {
+	Request units.RequestID `json:"request"`
+	Attempt units.AttemptID `json:"attempt"`
+}
+
+// Move asks the engine at addr to import the KV cache of a request from another.
+type Move struct {
+	Request units.RequestID `json:"request"`
+	// From is the address of the engine that exports.
+	From string `json:"from"`
+}
+
+// Moved tells what an import brought.
+type Moved struct {
+	KVHandle string       `json:"kv_handle"`
+	Tokens   units.Tokens `json:"tokens"`
+	Size     units.Bytes  `json:"size_bytes"`
+}
+
+// Import moves a request's KV cache to the engine at addr. It lasts as long as the
+// transfer does; the deadline of ctx bounds it.
+func (cl *Client) Import(ctx context.Context, addr string, mv Move) (Moved, error) {
+	var out Moved
+	err := cl.exchange(ctx, addr, fasthttp.MethodPost, "/engine/kv/import", mv, &out)
+	return out, err
+}
+
+// CacheEvent says that an engine began or ceased to hold a prefix.
+type CacheEvent struct {
+	Seq    int64           `json:"seq"`
+	Prefix units.PrefixKey `json:"prefix"`
+	Held   bool            `json:"held"`
+}
+
+// Order tells an engine to load a model or change its role.
+type Order struct {
+	// Fencing grows with each holder of the right to give orders.
+	Fencing int64          `json:"fencing"`
+	Model   units.TargetID `json:"model"`
+}
+
+// Give sends an order. An engine that checks the fencing number refuses an old one.
+func (cl *Client) Give(ctx context.Context, addr string, od Order) error {
+	return cl.exchange(ctx, addr, fasthttp.MethodPost, "/engine/orders", od, nil)
+}
+
+const exchangeTimeout = 5 * time.Second
+
+func (cl *Client) exchange(ctx context.Context, addr, method, path string, in, out any) error {
+	const op = "engine.exchange"
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, exchangeTimeout)
+		defer cancel()
+	}
+	var body []byte
+	if in != nil {
+		body, _ = json.Marshal(in)
+	}
+	req := newRequest(addr, method, path, body)
+	defer fasthttp.ReleaseRequest(req)
+	an, err := cl.caller.Do(ctx, addr, req, false)
+	if err != nil {
+		return fault.Wrap(op, kindOfCall(err), err)
+	}
+	defer an.Close()
+	if err := checkHead(an); err != nil {
+		return err
+	}
+	raw, err := io.ReadAll(an.Body)
+	if err != nil {
+		return fault.Wrap(op, KindBroken, err)
+	}
+	if out == nil {
+		return nil
+	}
+	return fault.Wrap(op, KindBroken, json.Unmarshal(raw, out))
+}
--- /dev/null
+++ b/internal/edge/gate/gate.go
@@ -0,0 +1,153 @@
+// Package gate makes requests wait for a place at their target in the order that
+// package admit decides.
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lycheepick/internal/rule/admit"
+	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/units"
+)
+
+// Kind tells why a request got no place.
+type Kind string
+
+// The kinds of error of this package.
+const (
+	// KindOverload marks a request that can't be served in time.
+	KindOverload Kind = "overload"
+	// KindCanceled marks a request whose caller has gone.
+	KindCanceled Kind = "canceled"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Gates holds the queue of each target. It is safe for concurrent use.
+type Gates struct {
+	mu    sync.Mutex
+	gates map[units.TargetID]*gate
+}
+
+type gate struct {
+	mu      sync.Mutex
+	queue   *admit.Queue
+	waiting map[*admit.Item]chan bool
+}
+
+// New returns no gates; each target's is made when it is first used.
+func New() *Gates { return &Gates{gates: map[units.TargetID]*gate{}} }
+
+func (gs *Gates) gate(ta units.TargetID) *gate {
+	gs.mu.Lock()
+	defer gs.mu.Unlock()
+	ga := gs.gates[ta]
+	if ga == nil {
+		ga = &gate{queue: admit.NewQueue(0), waiting: map[*admit.Item]chan bool{}}
+		gs.gates[ta] = ga
+	}
+	return ga
+}
+
+// SetPlaces changes the number of places of a target.
+func (gs *Gates) SetPlaces(ta units.TargetID, places int) {
+	ga := gs.gate(ta)
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.queue.SetPlaces(places)
+	ga.advance(time.Now())
+}
+
+// Enter waits for a place. The caller calls leave when the request has ended. On an
+// error, after tells when to come back.
+func (gs *Gates) Enter(ctx context.Context, ta units.TargetID, it *admit.Item) (leave func(), after time.Duration, err error) {
+	const op = "gate.Enter"
+	ga := gs.gate(ta)
+	turn, verdict, after := ga.offer(it)
+	switch verdict {
+	case admit.Go:
+		return ga.leaver(it.Cost), 0, nil
+	case admit.Refuse:
+		return nil, after, fault.New(op, KindOverload, "%s can't serve this in time", ta)
+	case admit.Wait:
+	}
+	tm := time.NewTimer(time.Until(it.Latest))
+	defer tm.Stop()
+	select {
+	case ok := <-turn:
+		if ok {
+			return ga.leaver(it.Cost), 0, nil
+		}
+	case <-tm.C:
+		if ga.withdraw(it, turn) {
+			return ga.leaver(it.Cost), 0, nil
+		}
+	case <-ctx.Done():
+		if ga.withdraw(it, turn) {
+			ga.leaver(it.Cost)()
+		}
+		return nil, 0, fault.Wrap(op, KindCanceled, ctx.Err())
+	}
+	return nil, ga.backlog(), fault.New(op, KindOverload, "%s had no place in time", ta)
+}
+
+func (ga *gate) offer(it *admit.Item) (chan bool, admit.Verdict, time.Duration) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	verdict, after := ga.queue.Offer(time.Now(), it)
+	if verdict != admit.Wait {
+		return nil, verdict, after
+	}
+	turn := make(chan bool, 1)
+	ga.waiting[it] = turn
+	return turn, verdict, 0
+}
+
+// withdraw takes a request out of the queue. It returns true if the request was given
+// a place in the meantime.
+func (ga *gate) withdraw(it *admit.Item, turn chan bool) bool {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if ga.queue.Remove(it) {
+		delete(ga.waiting, it)
+		return false
+	}
+	return <-turn
+}
+
+func (ga *gate) leaver(cost float64) func() {
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			ga.mu.Lock()
+			defer ga.mu.Unlock()
+			now := time.Now()
+			ga.queue.Release(now, cost)
+			ga.advance(now)
+		})
+	}
+}
+
+func (ga *gate) advance(now time.Time) {
+	run, late := ga.queue.Next(now)
+	for _, it := range run {
+		ga.answer(it, true)
+	}
+	for _, it := range late {
+		ga.answer(it, false)
+	}
+}
+
+func (ga *gate) answer(it *admit.Item, ok bool) {
+	ga.waiting[it] <- ok
+	delete(ga.waiting, it)
+}
+
+func (ga *gate) backlog() time.Duration {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.queue.Backlog()
+}
--- /dev/null
+++ b/internal/edge/quota/quota.go
@@ -0,0 +1,201 @@
+// Package quota applies the limits of the table's rows at one node, with the part of
+// each limit that package limit gives it.
+package quota
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lycheepick/internal/rule/limit"
+	"lycheepick/internal/state/table"
+)
+
+// Resource names a limited quantity of a row.
+type Resource uint32
+
+// The resources.
+const (
+	// Requests counts requests a second.
+	Requests Resource = iota
+	// TokenRate counts prompt and generated tokens a second.
+	TokenRate
+)
+
+// Lender asks a peer for a loan. It returns the amount and how long it lasts.
+type Lender func(ctx context.Context, row string, rs Resource, amount float64) (float64, time.Duration)
+
+// Book holds the shares of all rows. It is safe for concurrent use.
+type Book struct {
+	rows atomic.Pointer[map[table.RowKey]*row]
+	byID atomic.Pointer[map[string]*row]
+
+	mu    sync.Mutex
+	index *table.Index
+	seat  bool
+}
+
+type row struct {
+	mu       sync.Mutex
+	requests *limit.Share
+	tokens   *limit.Share
+	inFlight atomic.Int64
+	most     int64
+}
+
+// New returns a book without rows.
+func New() *Book {
+	bo := &Book{}
+	bo.rows.Store(&map[table.RowKey]*row{})
+	bo.byID.Store(&map[string]*row{})
+	return bo
+}
+
+// SetTable takes over the limits of a table.
+func (bo *Book) SetTable(ix *table.Index, now time.Time) {
+	bo.mu.Lock()
+	defer bo.mu.Unlock()
+	bo.index = ix
+	bo.rebuild(now)
+}
+
+// SetSeat tells whether this node holds a seat, and so owns a part of each limit.
+func (bo *Book) SetSeat(held bool, now time.Time) {
+	bo.mu.Lock()
+	defer bo.mu.Unlock()
+	if bo.seat == held {
+		return
+	}
+	bo.seat = held
+	if bo.index != nil {
+		bo.rebuild(now)
+	}
+}
+
+func (bo *Book) rebuild(now time.Time) {
+	old := *bo.rows.Load()
+	rows := map[table.RowKey]*row{}
+	byID := map[string]*row{}
+	tab := bo.index.Table()
+	for idx := range tab.Rows {
+		ro := &tab.Rows[idx]
+		key := ro.Key()
+		cur := old[key]
+		requests, tokens := bo.base(ro, tab.Seats)
+		if cur == nil {
+			cur = &row{
+				requests: limit.NewShare(requests, 1, now),
+				tokens:   limit.NewShare(tokens, leastTokens(ro), now),
+			}
+		}
+		cur.rebase(requests, tokens, inFlightPart(ro, tab.Seats), now)
+		rows[key] = cur
+		byID[key.String()] = cur
+	}
+	bo.rows.Store(&rows)
+	bo.byID.Store(&byID)
+}
+
+// leastTokens lets one usual request pass at a node whose part of the rate is small.
+func leastTokens(ro *table.Row) float64 {
+	const usual = 2048
+	return min(usual, float64(ro.TokensPerSecond))
+}
+
+func (bo *Book) base(ro *table.Row, seats int) (requests, tokens float64) {
+	if !bo.seat {
+		return 0, 0
+	}
+	return ro.RequestsPerSecond / float64(seats), float64(ro.TokensPerSecond) / float64(seats)
+}
+
+// inFlightPart is this node's part of a row's requests in progress, at least one.
+func inFlightPart(ro *table.Row, seats int) int64 {
+	return int64(max(1, (ro.InFlight+seats-1)/seats))
+}
+
+func (ro *row) rebase(requests, tokens float64, most int64, now time.Time) {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	ro.requests.SetBase(requests, now)
+	ro.tokens.SetBase(tokens, now)
+	ro.most = most
+}
+
+// Take admits a request that is expected to use so many tokens, or tells when to come
+// back. The caller calls the returned settle once with the tokens used.
+func (bo *Book) Take(key table.RowKey, tokens float64) (settle func(used float64), after time.Duration, ok bool) {
+	ro := (*bo.rows.Load())[key]
+	if ro == nil {
+		return nil, time.Second, false
+	}
+	now := time.Now()
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	if ro.inFlight.Load() >= ro.most {
+		return nil, time.Second, false
+	}
+	if ok, wait := ro.requests.Take(now, 1); !ok {
+		return nil, wait, false
+	}
+	if tokens > 0 {
+		if ok, wait := ro.tokens.Take(now, tokens); !ok {
+			ro.requests.Refund(now, 1)
+			return nil, wait, false
+		}
+	}
+	ro.inFlight.Add(1)
+	var once sync.Once
+	return func(used float64) { once.Do(func() { ro.settle(tokens - used) }) }, 0, true
+}
+
+func (ro *row) settle(unused float64) {
+	ro.inFlight.Add(-1)
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	if unused != 0 {
+		ro.tokens.Refund(time.Now(), unused)
+	}
+}
+
+func (ro *row) share(rs Resource) *limit.Share {
+	if rs == TokenRate {
+		return ro.tokens
+	}
+	return ro.requests
+}
+
+// Lend answers a peer that asks for a loan.
+func (bo *Book) Lend(id string, rs Resource, amount float64) (float64, time.Duration) {
+	ro := (*bo.byID.Load())[id]
+	if ro == nil {
+		return 0, 0
+	}
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	return ro.share(rs).Lend(time.Now(), amount), limit.LoanTime
+}
+
+// Borrow asks lenders for what the rows lack. A node calls it a few times a second.
+func (bo *Book) Borrow(ctx context.Context, ask Lender) {
+	for id, ro := range *bo.byID.Load() {
+		for _, rs := range []Resource{Requests, TokenRate} {
+			ro.borrow(ctx, id, rs, ask)
+		}
+	}
+}
+
+func (ro *row) borrow(ctx context.Context, id string, rs Resource, ask Lender) {
+	asked := time.Now()
+	ro.mu.Lock()
+	want := ro.share(rs).Wants(asked)
+	ro.mu.Unlock()
+	if want <= 0 {
+		return
+	}
+	amount, term := ask(ctx, id, rs, want)
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	ro.share(rs).Borrowed(asked, time.Now(), amount, term)
+}
--- /dev/null
+++ b/internal/node/daemon/keyed.go
@@ -0,0 +1,145 @@
+package daemon
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepick/internal/edge/keys"
+	"lycheepick/internal/peer/wire"
+	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/units"
+	"lycheepick/internal/state/intent"
+)
+
+// claimTime bounds a claim; a request that is not decided by then is refused.
+const claimTime = 3 * time.Second
+
+// homeOf returns the peer that groups the claims of a key's partition, or "" if that is
+// this node. It is a hint: a claim at any node is as safe.
+func (da *Daemon) homeOf(ke intent.Key) string {
+	ranked := da.home("keys-" + strconv.Itoa(keys.Partition(ke)))
+	if len(ranked) == 0 || isSelf(da, &ranked[0]) {
+		return ""
+	}
+	return ranked[0].Address
+}
+
+// Claim implements serve.Node.
+func (da *Daemon) Claim(ctx context.Context, ke intent.Key, id intent.ID, fingerprint string) (intent.Verdict, *intent.Answer, error) {
+	const op = "daemon.Claim"
+	ctx, cancel := context.WithTimeout(ctx, claimTime)
+	defer cancel()
+	home := da.homeOf(ke)
+	if home == "" {
+		return da.ledger.Claim(ctx, ke, id, fingerprint)
+	}
+	re, err := da.pool.Peer(ctx, home).Claim(ctx, &wire.ClaimRequest{
+		Customer: string(ke.Customer), Key: ke.Key, Intent: string(id), Fingerprint: fingerprint,
+	})
+	if err != nil {
+		// Whether the home appended the intent is not known, but to claim it again
+		// under the same id is safe.
+		if ctx.Err() != nil {
+			return 0, nil, fault.Wrap(op, keys.KindUndecided, err)
+		}
+		return da.ledger.Claim(ctx, ke, id, fingerprint)
+	}
+	if re.GetFailed() != "" {
+		return 0, nil, fault.New(op, keys.Kind(re.GetFailed()), "the node that groups this key's claims could not append")
+	}
+	return intent.Verdict(re.GetVerdict()), answerFromWire(re.GetAnswer()), nil
+}
+
+func answerFromWire(an *wire.Answer) *intent.Answer {
+	if an == nil {
+		return nil
+	}
+	return &intent.Answer{Outcome: an.GetOutcome(), Status: int(an.GetStatus()), ContentType: an.GetContentType(), Body: an.GetBody()}
+}
+
+func answerToWire(an *intent.Answer) *wire.Answer {
+	if an == nil {
+		return nil
+	}
+	return &wire.Answer{Outcome: an.Outcome, Status: int32(an.Status), ContentType: an.ContentType, Body: an.Body} //nolint:gosec // An HTTP status.
+}
+
+// recordJob is an entry that waits for the log.
+type recordJob struct{ entry intent.Entry }
+
+// Record implements serve.Node. Entries that do not fit are dropped: their keys then
+// stay claimed without an outcome, which keeps them from being run again.
+func (da *Daemon) Record(en intent.Entry) {
+	select {
+	case da.outbox <- recordJob{entry: en}:
+	default:
+		da.trail.Note("outcome_dropped", string(en.Customer), "key="+en.Key.Key)
+	}
+}
+
+const outboxWorkers = 16
+
+// outboxLoop records ends of keyed requests, each until it stands in the log.
+func (da *Daemon) outboxLoop(ctx context.Context) {
+	done := make(chan struct{})
+	for range outboxWorkers {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			da.outboxWork(ctx)
+		}()
+	}
+	for range outboxWorkers {
+		<-done
+	}
+}
+
+func (da *Daemon) outboxWork(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case job := <-da.outbox:
+			for ctx.Err() == nil && !da.recordOnce(ctx, job.entry) {
+				wait(ctx, jitter(time.Second))
+			}
+		}
+	}
+}
+
+func (da *Daemon) recordOnce(ctx context.Context, en intent.Entry) bool {
+	ctx, cancel := context.WithTimeout(ctx, claimTime)
+	defer cancel()
+	home := da.homeOf(en.Key)
+	if home == "" {
+		return da.logged(da.ledger.Record(ctx, en))
+	}
+	re, err := da.pool.Peer(ctx, home).Settle(ctx, &wire.SettleRequest{
+		Customer: string(en.Customer), Key: en.Key.Key, Intent: string(en.Intent), Fingerprint: en.Fingerprint,
+		Abandoned: en.Op == intent.OpAbandon, Answer: answerToWire(en.Answer),
+	})
+	if err == nil && re.GetRecorded() {
+		return true
+	}
+	return da.logged(da.ledger.Record(ctx, en))
+}
+
+func (da *Daemon) logged(err error) bool {
+	if err != nil {
+		da.log.Debug("outcome_not_recorded", zap.Error(err))
+	}
+	return err == nil
+}
+
+func settledEntry(rq *wire.SettleRequest) intent.Entry {
+	en := intent.Entry{
+		Op: intent.OpOutcome, Key: intent.Key{Customer: units.CustomerID(rq.GetCustomer()), Key: rq.GetKey()},
+		Intent: intent.ID(rq.GetIntent()), Fingerprint: rq.GetFingerprint(), Answer: answerFromWire(rq.GetAnswer()),
+	}
+	if rq.GetAbandoned() {
+		en.Op = intent.OpAbandon
+	}
+	return en
+}
--- /dev/null
+++ b/internal/node/daemon/load.go
@@ -0,0 +1,126 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"lycheepick/internal/edge/plain"
+	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/route"
+	"lycheepick/internal/rule/units"
+	"lycheepick/internal/state/member"
+)
+
+const (
+	probeTime    = time.Second
+	probesAtOnce = 16
+	refreshEvery = 100 * time.Millisecond
+	borrowEvery  = 200 * time.Millisecond
+	// skew is the ratio to an equal part of the backend servers' places that one
+	// node may use, since the balancer does not spread callers evenly.
+	skew = 2.0
+	// plainSlots is the number of requests in progress assumed for a plain service.
+	plainSlots = 64
+	// slotRatio lets the engines' own queues stay filled.
+	slotRatio = 1.25
+)
+
+// loadLoop asks the backend servers for their load in turn, as often as the settings
+// say and never more often than the bound on probes allows.
+func (da *Daemon) loadLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		pace := time.Second / time.Duration(da.set.Limits.ProbesPerSecond)
+		po := pool.New().WithMaxGoroutines(probesAtOnce)
+		for _, me := range da.members() {
+			if me.Role == member.RoleNode || me.State == member.Gone || ctx.Err() != nil {
+				continue
+			}
+			po.Go(func() { da.probe(ctx, &me) })
+			wait(ctx, pace)
+		}
+		po.Wait()
+		wait(ctx, da.set.Timing.Load.Std()-time.Since(began))
+	}
+}
+
+func (da *Daemon) probe(ctx context.Context, me *member.Member) {
+	ctx, cancel := context.WithTimeout(ctx, probeTime)
+	defer cancel()
+	asked := time.Now()
+	if me.Role == member.RolePlain {
+		da.probePlain(ctx, me)
+		return
+	}
+	rep, err := da.flow.Engine.Load(ctx, me.Address)
+	if err != nil {
+		da.fleet.Unreachable(me.VM, time.Now())
+		return
+	}
+	if rep.Draining {
+		da.serverDraining(me.VM)
+	}
+	da.fleet.Reported(me.VM, &rep, asked)
+}
+
+func (da *Daemon) probePlain(ctx context.Context, me *member.Member) {
+	rq := plain.Request{ID: "probe", Method: "GET", Path: "/healthz", Idempotent: true}
+	_, err := da.flow.Plain.Do(ctx, me.Address, &rq)
+	switch {
+	case fault.Is(err, plain.KindDraining):
+		da.serverDraining(me.VM)
+	case err != nil:
+		da.fleet.Unreachable(me.VM, time.Now())
+	default:
+		da.fleet.Alive(me.VM, time.Now())
+	}
+}
+
+// refreshLoop publishes load reports and the places that follow from them.
+func (da *Daemon) refreshLoop(ctx context.Context) {
+	every(ctx, refreshEvery, func(context.Context) {
+		da.fleet.Refresh()
+		da.setPlaces()
+		da.sessions.expire(time.Now())
+	})
+}
+
+// setPlaces gives this node its part of the places at the backend servers.
+func (da *Daemon) setPlaces() {
+	sn := da.fleet.Snapshot()
+	nodes := 0
+	slots := map[units.TargetID]float64{}
+	for idx, list := 0, sn.Members(); idx < len(list); idx++ {
+		me := &list[idx]
+		if isLiveNode(me) {
+			nodes++
+		}
+		if me.Role == member.RoleNode {
+			continue
+		}
+		slots[me.Target] += slotsOf(sn.Replica(me.VM))
+	}
+	part := 1.0
+	if nodes > 1 {
+		part = min(1, skew/float64(nodes))
+	}
+	for ta, count := range slots {
+		places := int(count * part)
+		if count > 0 {
+			places = max(places, 1)
+		}
+		da.flow.Gates.SetPlaces(ta, places)
+	}
+}
+
+func slotsOf(re *route.Replica) float64 {
+	if re == nil || !re.Usable {
+		return 0
+	}
+	if re.Load.Slots == 0 {
+		return plainSlots
+	}
+	return float64(re.Load.Slots) * slotRatio
+}
--- /dev/null
+++ b/internal/node/daemon/seats.go
@@ -0,0 +1,145 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"lycheepick/internal/edge/quota"
+	"lycheepick/internal/peer/wire"
+	"lycheepick/internal/plat/logsvc"
+	"lycheepick/internal/rule/limit"
+	"lycheepick/internal/rule/units"
+	"lycheepick/internal/state/member"
+)
+
+// claimEvery is the time between two claims while this node has no seat.
+const claimEvery = 2 * time.Second
+
+func (da *Daemon) instance() units.Instance {
+	return units.Instance{VM: da.set.VM.ID, Incarnation: da.set.VM.Incarnation}
+}
+
+func (da *Daemon) life() uint64 { return uint64(da.start.UnixNano()) }
+
+// seatLoop follows the stream of seats, and claims or renews this node's seat.
+func (da *Daemon) seatLoop(ctx context.Context) {
+	var tried time.Time
+	for ctx.Err() == nil {
+		da.seatMu.Lock()
+		next := da.seats.Next()
+		da.seatMu.Unlock()
+		page, err := da.logs.Read(ctx, logsvc.StreamSeats, next, claimEvery)
+		if err != nil {
+			da.checkSeat(time.Now())
+			wait(ctx, jitter(logBackoff))
+			continue
+		}
+		da.readSeats(&page)
+		held := da.checkSeat(time.Now())
+		due := claimEvery
+		if held {
+			due = limit.SeatRenew
+		}
+		if len(page.Records) == 0 && time.Since(tried) >= due && !da.leaving.Load() {
+			tried = time.Now()
+			da.claimSeat(ctx)
+		}
+	}
+}
+
+func (da *Daemon) readSeats(page *logsvc.Page) {
+	da.seatMu.Lock()
+	defer da.seatMu.Unlock()
+	for _, rec := range page.Records {
+		var sr limit.SeatRecord
+		if err := json.Unmarshal(rec.Body, &sr); err != nil {
+			sr = limit.SeatRecord{}
+		}
+		da.seats.Read(rec.Offset, rec.At, sr)
+	}
+}
+
+// checkSeat tells whether this node may use a seat at now: the log gave it one, and
+// not so long ago that another may have it since.
+func (da *Daemon) checkSeat(now time.Time) bool {
+	da.seatMu.Lock()
+	num, ok := da.seats.Holder(da.instance(), da.life())
+	held := ok && now.Sub(da.seatAt) < limit.SeatTime
+	da.seatMu.Unlock()
+	in := da.table.Load()
+	held = held && in != nil && num < in.Index.Table().Seats
+	da.quota.SetSeat(held, now)
+	return held
+}
+
+func (da *Daemon) claimSeat(ctx context.Context) {
+	in := da.table.Load()
+	if in == nil {
+		return
+	}
+	da.seatMu.Lock()
+	start := int(xxhash.Sum64String(string(da.set.VM.ID)) % uint64(in.Index.Table().Seats))
+	num, ok := da.seats.Pick(da.set.VM.ID, in.Index.Table().Seats, start, time.Now())
+	da.seatMu.Unlock()
+	if !ok {
+		da.log.Warn("no_seat", zap.Int("seats", in.Index.Table().Seats))
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTime)
+	defer cancel()
+	sent := time.Now()
+	rec := limit.SeatRecord{Op: limit.SeatClaim, Seat: num, Instance: da.instance(), Life: da.life()}
+	if _, err := da.logs.Append(ctx, logsvc.StreamSeats, rec); err != nil {
+		return
+	}
+	da.seatMu.Lock()
+	da.seatAt = sent
+	da.seatMu.Unlock()
+}
+
+// releaseSeat gives the seat up when the node leaves.
+func (da *Daemon) releaseSeat() {
+	da.seatMu.Lock()
+	num, ok := da.seats.Holder(da.instance(), da.life())
+	da.seatMu.Unlock()
+	if !ok {
+		return
+	}
+	da.quota.SetSeat(false, time.Now())
+	ctx, cancel := context.WithTimeout(context.Background(), peerTime)
+	defer cancel()
+	rec := limit.SeatRecord{Op: limit.SeatRelease, Seat: num, Instance: da.instance(), Life: da.life()}
+	if _, err := da.logs.Append(ctx, logsvc.StreamSeats, rec); err != nil {
+		da.log.Debug("seat_not_released", zap.Error(err))
+	}
+}
+
+// borrowLoop asks peers for what the rows lack.
+func (da *Daemon) borrowLoop(ctx context.Context) {
+	every(ctx, borrowEvery, func(ctx context.Context) { da.quota.Borrow(ctx, da.ask) })
+}
+
+const askTime = 300 * time.Millisecond
+
+// ask asks one random peer for a loan.
+func (da *Daemon) ask(ctx context.Context, row string, rs quota.Resource, amount float64) (float64, time.Duration) {
+	da.gossipMu.Lock()
+	peers := da.gossip.Sample(1, "")
+	da.gossipMu.Unlock()
+	if len(peers) == 0 || peers[0].State != member.Alive {
+		return 0, 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	re, err := da.pool.Peer(ctx, peers[0].Address).Borrow(ctx, &wire.BorrowRequest{
+		From: string(da.set.VM.ID), Row: row, Resource: uint32(rs), Amount: amount,
+	})
+	if err != nil {
+		return 0, 0
+	}
+	return re.GetAmount(), time.Duration(re.GetForMs()) * time.Millisecond
+}
--- /dev/null
+++ b/internal/plat/httpc/httpc.go
@@ -0,0 +1,105 @@
+// Package httpc makes the JSON calls to the platform's services.
+package httpc
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lycheepick/internal/rule/fault"
+)
+
+// Kind tells what is known of a call that failed.
+type Kind string
+
+// The kinds of error of this package.
+const (
+	// KindUnavailable marks a call that was refused or did not reach the service.
+	KindUnavailable Kind = "unavailable"
+	// KindUnanswered marks a call whose effect is unknown.
+	KindUnanswered Kind = "unanswered"
+	// KindRefused marks a call that the service found wrong.
+	KindRefused Kind = "refused"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+const (
+	maxConnsPerHost = 16
+	maxAnswerBytes  = 64 << 20
+	defaultTimeout  = 3 * time.Second
+)
+
+// Client calls one service.
+type Client struct {
+	base string
+	http *fasthttp.Client
+}
+
+// New returns a client of the service at base, such as "http://10.0.0.1:9000".
+func New(base string) *Client {
+	return &Client{
+		base: base,
+		http: &fasthttp.Client{
+			MaxConnsPerHost:           maxConnsPerHost,
+			MaxResponseBodySize:       maxAnswerBytes,
+			MaxIdemponentCallAttempts: 1,
+			NoDefaultUserAgentHeader:  true,
+		},
+	}
+}
+
+// Do sends in as JSON, or nothing if in is nil, and decodes the answer into out
+// unless that is nil. The call ends by the deadline of ctx, or after three
+// seconds if it has none.
+func (cl *Client) Do(ctx context.Context, method, path string, in, out any) error {
+	const op = "httpc.Do"
+	if err := ctx.Err(); err != nil {
+		return fault.Wrap(op, KindUnavailable, err)
+	}
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(cl.base + path)
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return fault.Wrap(op, KindRefused, err)
+		}
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(raw)
+	}
+	if err := cl.http.DoDeadline(req, resp, deadlineOf(ctx)); err != nil {
+		return fault.Wrap(op, KindUnanswered, err)
+	}
+	return decode(resp, out)
+}
+
+func deadlineOf(ctx context.Context) time.Time {
+	if at, ok := ctx.Deadline(); ok {
+		return at
+	}
+	return time.Now().Add(defaultTimeout)
+}
+
+func decode(resp *fasthttp.Response, out any) error {
+	const op = "httpc.decode"
+	code := resp.StatusCode()
+	switch {
+	case code == fasthttp.StatusGatewayTimeout:
+		return fault.New(op, KindUnanswered, "status %d", code)
+	case code >= fasthttp.StatusInternalServerError, code == fasthttp.StatusTooManyRequests:
+		return fault.New(op, KindUnavailable, "status %d: %.200s", code, resp.Body())
+	case code >= fasthttp.StatusBadRequest:
+		return fault.New(op, KindRefused, "status %d: %.200s", code, resp.Body())
+	}
+	if out == nil {
+		return nil
+	}
+	return fault.Wrap(op, KindUnanswered, json.Unmarshal(resp.Body(), out))
+}
--- /dev/null
+++ b/internal/rule/fault/fault.go
@@ -0,0 +1,44 @@
+// Package fault gives the shape that each package's one error type has: the
+// operation that failed and the kind of failure.
+package fault
+
+import (
+	"github.com/pkg/errors"
+)
+
+// Error is an error of one package. K is that package's own type of kinds.
+type Error[K ~string] struct {
+	// Op is the function that failed, such as "table.Decode".
+	Op string
+	// Kind tells callers what to do about it.
+	Kind K
+	// Err is the cause and is never nil.
+	Err error
+}
+
+// Error returns the operation, the kind and the cause on one line.
+func (er *Error[K]) Error() string {
+	return er.Op + ": " + string(er.Kind) + ": " + er.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (er *Error[K]) Unwrap() error { return er.Err }
+
+// New returns an error of kind kd with a formatted cause.
+func New[K ~string](op string, kd K, format string, args ...any) error {
+	return &Error[K]{Op: op, Kind: kd, Err: errors.Errorf(format, args...)}
+}
+
+// Wrap returns an error of kind kd around cause, or nil if cause is nil.
+func Wrap[K ~string](op string, kd K, cause error) error {
+	if cause == nil {
+		return nil
+	}
+	return &Error[K]{Op: op, Kind: kd, Err: cause}
+}
+
+// Is tells whether err, or an error that it wraps, has kind kd.
+func Is[K ~string](err error, kd K) bool {
+	var fe *Error[K]
+	return errors.As(err, &fe) && fe.Kind == kd
+}
--- /dev/null
+++ b/internal/rule/limit/limit.go
@@ -0,0 +1,186 @@
+// Package limit keeps the sum of what all nodes admit of a row within the row's limit.
+//
+// Each entry VM that holds a seat owns an equal part of every limit. A node that needs
+// more borrows from a peer for a short time. The lender gives up the amount before it
+// answers, and counts the loan's time from its answer; the borrower counts it from its
+// question, which is earlier. So the sum over all nodes never exceeds the limit, whatever
+// is lost, late, paused or cut, and no node has to know how many others there are.
+//
+// Nothing here does I/O or reads a clock.
+package limit
+
+import (
+	"math"
+	"time"
+)
+
+// LoanTime is how long a loan lasts, counted by the lender.
+const LoanTime = 2 * time.Second
+
+const (
+	// burst is the time for which unused allowance is kept.
+	burst = time.Second
+	// demandTime is the time constant of the demand estimate.
+	demandTime = 500 * time.Millisecond
+	// spareShare is the part of what a lender does not need that it gives to one asker.
+	spareShare = 0.5
+	// headroom is the ratio of allowance to demand that a node aims for.
+	headroom = 1.2
+	// leastLoan is the ratio to the base rate under which a loan is not worth a message.
+	leastLoan = 0.01
+)
+
+// Share is one node's part of one limit, in units a second. It is not safe for
+// concurrent use.
+type Share struct {
+	base   float64
+	out    []loan
+	in     []loan
+	level  float64
+	last   time.Time
+	demand float64
+	// least is the burst that lets the largest single request pass.
+	least float64
+}
+
+type loan struct {
+	amount float64
+	until  time.Time
+}
+
+// NewShare returns a share that owns base units a second. Single requests of up to
+// least units can pass however small the rate is.
+func NewShare(base, least float64, now time.Time) *Share {
+	sh := &Share{base: base, least: least, last: now}
+	sh.level = sh.capacity(base)
+	return sh
+}
+
+// SetBase changes the owned rate, when the table or the seat changes.
+func (sh *Share) SetBase(base float64, now time.Time) {
+	sh.advance(now)
+	sh.base = base
+}
+
+func (sh *Share) capacity(rate float64) float64 {
+	if rate <= 0 {
+		return 0
+	}
+	return max(rate*burst.Seconds(), sh.least)
+}
+
+// Rate returns the allowance at now: owned, less lent, plus borrowed.
+func (sh *Share) Rate(now time.Time) float64 {
+	sh.in = live(sh.in, now)
+	sh.out = live(sh.out, now)
+	return max(0, sh.base-sum(sh.out)) + sum(sh.in)
+}
+
+func live(list []loan, now time.Time) []loan {
+	out := list[:0]
+	for _, lo := range list {
+		if now.Before(lo.until) {
+			out = append(out, lo)
+		}
+	}
+	return out
+}
+
+func sum(list []loan) float64 {
+	total := 0.0
+	for _, lo := range list {
+		total += lo.amount
+	}
+	return total
+}
+
+// advance fills the bucket. Loans that ended on the way count only up to their end.
+func (sh *Share) advance(now time.Time) {
+	gap := now.Sub(sh.last)
+	if gap <= 0 {
+		return
+	}
+	gained := max(0, sh.base-sum(sh.out)) * gap.Seconds()
+	for _, lo := range sh.in {
+		gained += lo.amount * max(0, min(gap, lo.until.Sub(sh.last))).Seconds()
+	}
+	rate := sh.Rate(now)
+	sh.level = min(sh.level+gained, sh.capacity(rate))
+	sh.demand *= math.Exp(-float64(gap) / float64(demandTime))
+	sh.last = now
+}
+
+// Take admits a request of so many units, or tells how long until the allowance
+// covers it.
+func (sh *Share) Take(now time.Time, amount float64) (ok bool, wait time.Duration) {
+	sh.advance(now)
+	sh.demand += amount / demandTime.Seconds()
+	rate := sh.Rate(now)
+	need := min(amount, sh.capacity(rate))
+	if rate > 0 && sh.level >= need {
+		sh.level -= amount
+		return true, 0
+	}
+	if rate <= 0 {
+		return false, LoanTime
+	}
+	return false, time.Duration((need - sh.level) / rate * float64(time.Second))
+}
+
+// Refund gives units back that a request reserved and did not use; a negative amount
+// charges units that it used beyond its reservation.
+func (sh *Share) Refund(now time.Time, amount float64) {
+	sh.advance(now)
+	sh.level = min(sh.level+amount, sh.capacity(sh.Rate(now)))
+}
+
+// Demand returns the estimate of what this node was asked for, in units a second.
+func (sh *Share) Demand(now time.Time) float64 {
+	sh.advance(now)
+	return sh.demand
+}
+
+// Wants returns the amount to borrow, or 0 if the allowance covers the demand.
+func (sh *Share) Wants(now time.Time) float64 {
+	sh.advance(now)
+	want := sh.demand*headroom - sh.steady(now)
+	if want < sh.base*leastLoan || want <= 0 {
+		return 0
+	}
+	return want
+}
+
+// steady is the allowance that lasts beyond the time a renewal takes.
+func (sh *Share) steady(now time.Time) float64 {
+	rate := sh.Rate(now)
+	for _, lo := range sh.in {
+		if lo.until.Sub(now) < LoanTime/2 {
+			rate -= lo.amount
+		}
+	}
+	return rate
+}
+
+// Lend gives up to ask units a second away for LoanTime. Only owned units are lent,
+// so that loans never form chains.
+func (sh *Share) Lend(now time.Time, ask float64) float64 {
+	sh.advance(now)
+	sh.out = live(sh.out, now)
+	free := sh.base - sum(sh.out)
+	spare := (free - sh.demand*headroom) * spareShare
+	amount := min(ask, spare)
+	if amount < sh.base*leastLoan || amount <= 0 {
+		return 0
+	}
+	sh.out = append(sh.out, loan{amount: amount, until: now.Add(LoanTime)})
+	return amount
+}
+
+// Borrowed takes a loan over that was asked for at asked.
+func (sh *Share) Borrowed(asked, now time.Time, amount float64, term time.Duration) {
+	sh.advance(now)
+	until := asked.Add(term)
+	if amount > 0 && now.Before(until) {
+		sh.in = append(sh.in, loan{amount: amount, until: until})
+	}
+}
