Let the queue form at the nodes, and claim a seat at once

Cause: places at a target were a fixed part of its slots times 2.5, so requests queued at the engines, unseen by admission; and a node claimed its seat up to 2 s after its first table, until when all limits stood at 0.

--- a/internal/edge/gate/gate.go
+++ b/internal/edge/gate/gate.go
@@ -52,12 +52,13 @@
 	return ga
 }
 
-// SetPlaces changes the number of places of a target.
-func (gs *Gates) SetPlaces(ta units.TargetID, places int) {
+// SetFree sets the number of places beyond those in use; below 0 it takes places away
+// as requests end. One place is always left, so that a target can be tried at all.
+func (gs *Gates) SetFree(ta units.TargetID, free int) {
 	ga := gs.gate(ta)
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	ga.queue.SetPlaces(places)
+	ga.queue.SetPlaces(max(1, ga.queue.Used()+free))
 	ga.advance(time.Now())
 }
 
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -89,6 +89,8 @@
 	server   *serve.Server
 	meters   *meters
 
+	seated    atomic.Bool
+	tableAt   atomic.Int64 // When the first table was installed, in Unix nanoseconds.
 	leaving   atomic.Bool
 	leave     chan time.Time // Receives the deadline of this node's own VM.
 	reclaimMu sync.Mutex
@@ -217,6 +219,9 @@
 	if da.table.Load() == nil {
 		return fault.New(op, serve.KindNotReady, "this node has no table yet")
 	}
+	if !da.seated.Load() && time.Since(time.Unix(0, da.tableAt.Load())) < seatPatience {
+		return fault.New(op, serve.KindNotReady, "this node has no seat yet")
+	}
 	return nil
 }
 
--- a/internal/node/daemon/load.go
+++ b/internal/node/daemon/load.go
@@ -18,13 +18,11 @@
 	probesAtOnce = 16
 	refreshEvery = 100 * time.Millisecond
 	borrowEvery  = 200 * time.Millisecond
-	// skew is the ratio to an equal part of the backend servers' places that one
-	// node may use, since the balancer does not spread callers evenly.
+	// skew is the ratio to an equal part of the free slots that one node may take
+	// before it sees the next load reports.
 	skew = 2.0
 	// plainSlots is the number of requests in progress assumed for a plain service.
 	plainSlots = 64
-	// slotRatio lets the engines' own queues stay filled.
-	slotRatio = 1.25
 )
 
 // loadLoop asks the backend servers for their load in turn, as often as the settings
@@ -87,11 +85,14 @@
 	})
 }
 
-// setPlaces gives this node its part of the places at the backend servers.
+// setPlaces lets this node's requests in progress grow by its part of the slots that
+// are free. So the queue of a target forms at the nodes, where it is fair and can be
+// refused in time, and not at the engines; and a node that gets more of the callers
+// than the others may use more of the slots.
 func (da *Daemon) setPlaces() {
 	sn := da.fleet.Snapshot()
 	nodes := 0
-	slots := map[units.TargetID]float64{}
+	free := map[units.TargetID]int{}
 	for idx, list := 0, sn.Members(); idx < len(list); idx++ {
 		me := &list[idx]
 		if isLiveNode(me) {
@@ -100,27 +101,26 @@
 		if me.Role == member.RoleNode {
 			continue
 		}
-		slots[me.Target] += slotsOf(sn.Replica(me.VM))
+		free[me.Target] += freeSlots(sn.Replica(me.VM))
 	}
 	part := 1.0
 	if nodes > 1 {
 		part = min(1, skew/float64(nodes))
 	}
-	for ta, count := range slots {
-		places := int(count * part)
-		if count > 0 {
-			places = max(places, 1)
-		}
-		da.flow.Gates.SetPlaces(ta, places)
+	for ta, count := range free {
+		da.flow.Gates.SetFree(ta, int(float64(count)*part))
 	}
 }
 
-func slotsOf(re *route.Replica) float64 {
+// freeSlots returns a server's free slots, less what this node has sent since the load
+// report; below 0 if requests wait there.
+func freeSlots(re *route.Replica) int {
 	if re == nil || !re.Usable {
 		return 0
 	}
 	if re.Load.Slots == 0 {
 		return plainSlots
 	}
-	return float64(re.Load.Slots) * slotRatio
+	sent, _ := re.Track.Since(re.Load.At)
+	return re.Load.Slots - re.Load.Running - re.Load.Queued - sent
 }
--- a/internal/node/daemon/seats.go
+++ b/internal/node/daemon/seats.go
@@ -16,8 +16,15 @@
 	"lycheepick/internal/state/member"
 )
 
-// claimEvery is the time between two claims while this node has no seat.
-const claimEvery = 2 * time.Second
+const (
+	// claimEvery is the time between two claims while this node has no seat.
+	claimEvery = 2 * time.Second
+	// unseatedWait is how long a read waits while this node has no seat.
+	unseatedWait = 200 * time.Millisecond
+	// seatPatience is how long a node with a table stays unready for want of a seat.
+	// After it, it serves with what it can borrow.
+	seatPatience = 3 * time.Second
+)
 
 func (da *Daemon) instance() units.Instance {
 	return units.Instance{VM: da.set.VM.ID, Incarnation: da.set.VM.Incarnation}
@@ -28,11 +35,12 @@
 // seatLoop follows the stream of seats, and claims or renews this node's seat.
 func (da *Daemon) seatLoop(ctx context.Context) {
 	var tried time.Time
+	patience := unseatedWait
 	for ctx.Err() == nil {
 		da.seatMu.Lock()
 		next := da.seats.Next()
 		da.seatMu.Unlock()
-		page, err := da.logs.Read(ctx, logsvc.StreamSeats, next, claimEvery)
+		page, err := da.logs.Read(ctx, logsvc.StreamSeats, next, patience)
 		if err != nil {
 			da.checkSeat(time.Now())
 			wait(ctx, jitter(logBackoff))
@@ -41,8 +49,10 @@
 		da.readSeats(&page)
 		held := da.checkSeat(time.Now())
 		due := claimEvery
+		patience = unseatedWait
 		if held {
 			due = limit.SeatRenew
+			patience = logWait
 		}
 		if len(page.Records) == 0 && time.Since(tried) >= due && !da.leaving.Load() {
 			tried = time.Now()
@@ -73,6 +83,7 @@
 	in := da.table.Load()
 	held = held && in != nil && num < in.Index.Table().Seats
 	da.quota.SetSeat(held, now)
+	da.seated.Store(held)
 	return held
 }
 
--- a/internal/node/daemon/table.go
+++ b/internal/node/daemon/table.go
@@ -71,6 +71,7 @@
 	if in == nil || (cur != nil && in.Version <= cur.Version) {
 		return
 	}
+	da.tableAt.CompareAndSwap(0, time.Now().UnixNano())
 	da.table.Store(in)
 	da.quota.SetTable(in.Index, time.Now())
 	da.announce(func(me *member.Member) { me.TableVersion = in.Version })
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -76,11 +76,11 @@
   until_ok 15 bash -c "curl -sf http://$(at $((30 + num)))/metrics | grep -q '^lycheepick_servers_usable 8'"
 done
 
-echo "== load through the balancer; zone-1 is reclaimed in mid-stream with 4 s of notice"
-bin/standin load --to "$(at 2)" --key demo-key --rate 60 --for 10s --tokens 200 --streamed 0.6 --plain 0.2 >"$out/load.txt" 2>&1 &
+echo "== load through the balancer; zone-1 is reclaimed in mid-stream with 2 s of notice"
+bin/standin load --to "$(at 2)" --key demo-key --rate 20 --for 10s --tokens 300 --streamed 0.6 --plain 0.2 >"$out/load.txt" 2>&1 &
 load=$!
 sleep 3
-post "$(at 1)/admin/reclaim" '{"zone":"zone-1","in":"4s","exit":true}'
+post "$(at 1)/admin/reclaim" '{"zone":"zone-1","in":"2s","exit":true}'
 if wait "$load"; then verdict=0; else verdict=$?; fi
 cat "$out/load.txt"
 
