--- a/Makefile
+++ b/Makefile
@@ -1,18 +1,27 @@
 # Commands for developers. README.md explains them.
 
+SEEDS ?= 10000
+
 .PHONY: build test demo soak measure lint generate
 
 build:
 	go build -o bin ./cmd/...
 
 test:
-	go test ./...
+	bash tools/test.sh
 
 demo:
 	bash tools/demo.sh
 
+soak:
+	SOAK_SEEDS=$(SEEDS) go test -count=1 -run 'TestSoak' -v -timeout 60m ./internal/proof/...
+
+measure:
+	bash tools/measure.sh
+
 lint:
-	bash tools/lint.sh
+	bash tools/tools.sh
+	.tools/bin/golangci-lint run ./...
 
 generate:
 	go generate ./internal/peer/wire
--- a/cmd/lycheepick/main.go
+++ b/cmd/lycheepick/main.go
@@ -100,10 +100,10 @@
 	}
 	cmd, _ := ps.Subcommand().(command)
 	switch {
-	case err == arg.ErrHelp && cmd != nil:
+	case errors.Is(err, arg.ErrHelp) && cmd != nil:
 		_, _ = fmt.Fprint(out, cmd.usage())
 		return 0
-	case err == arg.ErrHelp:
+	case errors.Is(err, arg.ErrHelp):
 		_, _ = fmt.Fprint(out, usage)
 		return 0
 	case err != nil:
--- a/cmd/lycheepickd/main.go
+++ b/cmd/lycheepickd/main.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
 
 	"lycheepick/internal/node/config"
 	"lycheepick/internal/node/daemon"
@@ -52,7 +53,7 @@
 		return complain(err)
 	}
 	switch err := ps.Parse(argv); {
-	case err == arg.ErrHelp:
+	case errors.Is(err, arg.ErrHelp):
 		fmt.Print(usage)
 		return 0
 	case err != nil:
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
 )
 
 const usage = `standin runs small stand-ins of what lycheepick runs beside. It is for tests only.
@@ -51,10 +52,10 @@
 	}
 	cmd, _ := ps.Subcommand().(command)
 	switch {
-	case err == arg.ErrHelp && cmd != nil:
+	case errors.Is(err, arg.ErrHelp) && cmd != nil:
 		fmt.Print(cmd.usage())
 		return 0
-	case err == arg.ErrHelp:
+	case errors.Is(err, arg.ErrHelp):
 		fmt.Print(usage)
 		return 0
 	case err != nil || cmd == nil:
--- a/internal/edge/call/body.go
+++ b/internal/edge/call/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http/httputil"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -75,7 +76,7 @@
 		bo.atEnd = true
 		return num, nil
 	}
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
 	return num, err
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -213,7 +213,7 @@
 
 // pause waits before a retry, with jitter.
 func pause(ctx context.Context, att units.AttemptID) bool {
-	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // Jitter is no secret.
+	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return sleep(ctx, retry.Backoff(int(att), rnd))
 }
 
--- a/internal/fake/stand/balancer.go
+++ b/internal/fake/stand/balancer.go
@@ -46,7 +46,7 @@
 	for {
 		cn, err := ls.Accept()
 		if err != nil {
-			return nil //nolint:nilerr // The listener closes with the context.
+			return nil
 		}
 		go ba.pass(cn)
 	}
--- a/internal/fake/stand/load.go
+++ b/internal/fake/stand/load.go
@@ -74,7 +74,7 @@
 func Load(ctx context.Context, cfg LoadConfig) *LoadResult {
 	re := NewLoadResult()
 	ca := call.NewCaller()
-	rnd := rand.New(rand.NewPCG(cfg.Seed, 1)) //nolint:gosec // A seed is wanted.
+	rnd := rand.New(rand.NewPCG(cfg.Seed, 1))
 	var wg sync.WaitGroup
 	began := time.Now()
 	at := time.Duration(0)
--- a/internal/node/audit/audit.go
+++ b/internal/node/audit/audit.go
@@ -105,7 +105,8 @@
 func (tr *Trail) putBack(ba Batch) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	all := append(ba.Entries, tr.pending...)
+	all := ba.Entries
+	all = append(all, tr.pending...)
 	tr.dropped += ba.Dropped
 	if over := len(all) - mostKept; over > 0 {
 		tr.dropped += over
--- a/internal/node/config/config.go
+++ b/internal/node/config/config.go
@@ -205,7 +205,8 @@
 	}
 }
 
-func (ch *checker) span(path string, val, low, high units.Duration) {
+func (ch *checker) span(path string, val, low units.Duration) {
+	const high = units.Duration(10 * time.Minute)
 	if val < low || val > high {
 		ch.addf(path, "have %s, want %s to %s", val, low, high)
 	}
@@ -262,14 +263,13 @@
 
 func (se *Settings) checkTiming(ch *checker) {
 	const least = units.Duration(10 * time.Millisecond)
-	const most = units.Duration(10 * time.Minute)
 	ti := se.Timing
-	ch.span("timing.grace", ti.Grace, 0, most)
-	ch.span("timing.vm_list", ti.VMList, least, most)
-	ch.span("timing.prices", ti.Prices, least, most)
-	ch.span("timing.load", ti.Load, least, most)
-	ch.span("timing.gossip", ti.Gossip, least, most)
-	ch.span("timing.suspect", ti.Suspect, ti.Gossip, most)
+	ch.span("timing.grace", ti.Grace, 0)
+	ch.span("timing.vm_list", ti.VMList, least)
+	ch.span("timing.prices", ti.Prices, least)
+	ch.span("timing.load", ti.Load, least)
+	ch.span("timing.gossip", ti.Gossip, least)
+	ch.span("timing.suspect", ti.Suspect, ti.Gossip)
 }
 
 const leastSecret = 16
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -115,7 +115,7 @@
 	da := &Daemon{
 		set: set, secret: secret, log: log, trail: trail, start: start,
 		logs: logsvc.New(set.Platform.Log), cloud: cloud.New(set.Platform.Cloud), pool: mesh.NewPool(secret),
-		gossip: member.NewGossip(cfg, self, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), //nolint:gosec // Picks peers.
+		gossip: member.NewGossip(cfg, self, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		fold:   table.NewFold(), seats: limit.NewSeats(), fleet: fleet.New(trail), quota: quota.New(),
 		outbox: make(chan recordJob, outboxSize), sessions: newSessions(set.Limits.Sessions),
 		leave: make(chan time.Time, 1), reclaimed: map[units.Instance]bool{},
@@ -236,7 +236,7 @@
 
 func jitter(du time.Duration) time.Duration {
 	const spread = 5 // One part in so many, to either side.
-	return du - du/spread + time.Duration(rand.Int64N(int64(2*du/spread)+1)) //nolint:gosec // Jitter is no secret.
+	return du - du/spread + time.Duration(rand.Int64N(int64(2*du/spread)+1))
 }
 
 func wait(ctx context.Context, du time.Duration) {
--- a/internal/node/daemon/gossip.go
+++ b/internal/node/daemon/gossip.go
@@ -9,7 +9,6 @@
 
 	"lycheepick/internal/peer/mesh"
 	"lycheepick/internal/peer/wire"
-	"lycheepick/internal/rule/units"
 	"lycheepick/internal/state/member"
 )
 
@@ -226,4 +225,4 @@
 	return member.Rank(key, da.members(), isLiveNode)
 }
 
-func isSelf(da *Daemon, me *member.Member) bool { return me.VM == units.VMID(da.set.VM.ID) }
+func isSelf(da *Daemon, me *member.Member) bool { return me.VM == da.set.VM.ID }
--- a/internal/node/daemon/keyed.go
+++ b/internal/node/daemon/keyed.go
@@ -64,7 +64,7 @@
 	if an == nil {
 		return nil
 	}
-	return &wire.Answer{Outcome: an.Outcome, Status: int32(an.Status), ContentType: an.ContentType, Body: an.Body} //nolint:gosec // An HTTP status.
+	return &wire.Answer{Outcome: an.Outcome, Status: int32(an.Status), ContentType: an.ContentType, Body: an.Body}
 }
 
 // recordJob is an entry that waits for the log.
--- a/internal/peer/mesh/auth.go
+++ b/internal/peer/mesh/auth.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"io"
 	"net"
+	"slices"
 	"time"
 
 	"lycheepick/internal/rule/fault"
@@ -41,7 +42,7 @@
 	if _, err := io.ReadFull(cn, reply); err != nil {
 		return fault.Wrap(op, KindUnreachable, err)
 	}
-	both := append(own, reply[:nonceBytes]...)
+	both := slices.Concat(own, reply[:nonceBytes])
 	if !hmac.Equal(reply[nonceBytes:], proof(secret, serverLabel, both)) {
 		return fault.New(op, KindForbidden, "the peer does not have this node's secret")
 	}
@@ -63,7 +64,7 @@
 	if _, err := rand.Read(own); err != nil {
 		return fault.Wrap(op, KindUnreachable, err)
 	}
-	both := append(theirs, own...)
+	both := slices.Concat(theirs, own)
 	if _, err := cn.Write(append(own, proof(secret, serverLabel, both)...)); err != nil {
 		return fault.Wrap(op, KindUnreachable, err)
 	}
