Find nodes again after a cut, and give refutations time

Cause 2: nodes never wrote to a node that they took for gone, so two sides of a cut stayed apart for good (TestBuriedNodeRises: 0 of 7 nodes saw it alive again). Ruled out: the merge, which is a join (TestMergeIsAJoin, 200 schedules). Change: suspicions and refutations go out at once; a peer in doubt is told so first; a node that is gone is written to every tenth period; a leaving node that falls silent is gone. After: both tests green, and TestCutRegionsMerge: 24 nodes cut in halves for 60 periods all see each other again within 120.

--- a/internal/state/member/gossip.go
+++ b/internal/state/member/gossip.go
@@ -23,6 +23,9 @@
 	Fanout int
 	// MessageMembers bounds the changed members in one message.
 	MessageMembers int
+	// RetryGone is the number of periods between two messages to a node that is gone,
+	// which find the other side again after a cut.
+	RetryGone int
 	// Indirect is the number of peers asked to probe a node that did not answer.
 	Indirect int
 }
@@ -30,8 +33,8 @@
 // DefaultConfig returns the values that the daemon runs with.
 func DefaultConfig() Config {
 	return Config{
-		Period: time.Second, SuspectFor: 6 * time.Second, FullEvery: time.Minute, KeepGone: 10 * time.Minute,
-		Fanout: 3, MessageMembers: 24, Indirect: 3,
+		Period: time.Second, SuspectFor: 6 * time.Second, FullEvery: time.Minute, KeepGone: 2 * time.Hour,
+		Fanout: 3, MessageMembers: 24, Indirect: 3, RetryGone: 10,
 	}
 }
 
@@ -65,6 +68,7 @@
 	since    map[units.VMID]time.Time // When a member became suspect or gone.
 	ring     []units.VMID
 	lastFull time.Time
+	ticks    int
 }
 
 // NewGossip returns the gossip of the node self.
@@ -124,23 +128,28 @@
 	return true
 }
 
-// isUrgent picks the changes that the others act on at once: a member that leaves.
+// isUrgent picks the changes that the others act on at once: a member that leaves, a
+// suspicion, and its refutation, which has little time to spread.
 func isUrgent(old Member, known bool, cur Member) bool {
-	if cur.State < Leaving {
-		return false
+	if !known || old.Incarnation != cur.Incarnation {
+		return cur.State != Alive
 	}
-	return !known || old.State < Leaving || old.Incarnation != cur.Incarnation
+	return old.State != cur.State
 }
 
 // Tick begins a period: suspects whose time is up are gone, old entries are dropped,
 // and one exchange with the next node of the ring is planned.
 func (gs *Gossip) Tick(now time.Time) (plan Plan, ok bool) {
 	gs.expire(now)
-	to, ok := gs.nextPeer()
+	gs.ticks++
+	to, ok := gs.nextGone()
+	if !ok {
+		to, ok = gs.nextPeer()
+	}
 	if !ok {
 		return Plan{}, false
 	}
-	return Plan{To: to, Message: gs.message(false)}, true
+	return Plan{To: to, Message: gs.message(to.VM, false)}, true
 }
 
 func (gs *Gossip) expire(now time.Time) {
@@ -149,7 +158,7 @@
 		switch {
 		case !ok:
 			delete(gs.since, id)
-		case me.State == Suspect && now.Sub(at) >= gs.cfg.SuspectFor:
+		case (me.State == Suspect || me.State == Leaving) && now.Sub(at) >= gs.cfg.SuspectFor:
 			me.State = Gone
 			gs.Observe(me, now)
 		case me.State == Gone && now.Sub(at) >= gs.cfg.KeepGone:
@@ -168,7 +177,7 @@
 	clear(gs.urgent)
 	var out []Plan
 	for _, to := range gs.Sample(gs.cfg.Fanout, "") {
-		out = append(out, Plan{To: to, Message: gs.message(false)})
+		out = append(out, Plan{To: to, Message: gs.message(to.VM, false)})
 	}
 	return out
 }
@@ -177,7 +186,7 @@
 func (gs *Gossip) Receive(msg Message, now time.Time) Message {
 	gs.merge(msg, now)
 	full := msg.Full || gs.fullDue(msg, now)
-	return gs.message(full)
+	return gs.message(msg.From, full)
 }
 
 // Answered merges the answer to a message that this node sent. If a full exchange
@@ -185,7 +194,12 @@
 func (gs *Gossip) Answered(to Member, msg Message, now time.Time) (plan Plan, ok bool) {
 	gs.merge(msg, now)
 	if !msg.Full && gs.fullDue(msg, now) {
-		return Plan{To: to, Message: gs.message(true)}, true
+		return Plan{To: to, Message: gs.message(to.VM, true)}, true
+	}
+	if me, known := gs.view.Get(msg.From); known && me.State == Gone && to.VM != msg.From {
+		// A seed, known by its address alone, answers for a node that is taken for gone.
+		to.VM = msg.From
+		return Plan{To: to, Message: gs.message(msg.From, false)}, true
 	}
 	return Plan{}, false
 }
@@ -230,31 +244,41 @@
 // Failed reports that a node answered neither this node nor its helpers.
 func (gs *Gossip) Failed(id units.VMID, now time.Time) {
 	me, ok := gs.view.Get(id)
-	if !ok || me.State != Alive || id == gs.self {
+	if !ok || id == gs.self {
 		return
 	}
-	me.State = Suspect
-	gs.Observe(me, now)
+	_, doubted := gs.since[id]
+	switch {
+	case me.State == Alive:
+		me.State = Suspect
+		gs.Observe(me, now)
+	case me.State == Leaving && !doubted:
+		gs.since[id] = now // It said that it leaves, so it may just have left.
+	}
 }
 
-// message gathers the changes that were sent least often.
-func (gs *Gossip) message(full bool) Message {
+// message gathers the changes that were sent least often. A peer that is not taken for
+// alive is told so first, since it alone can refute that.
+func (gs *Gossip) message(to units.VMID, full bool) Message {
 	msg := Message{From: gs.self, Digest: gs.view.Digest(), Full: full}
 	if full {
 		msg.Members = gs.view.List()
 		return msg
 	}
+	if me, ok := gs.view.Get(to); ok && me.State != Alive {
+		msg.Members = append(msg.Members, me)
+	}
 	limit := gs.sendLimit()
 	for _, id := range gs.leastSent() {
 		if len(msg.Members) >= gs.cfg.MessageMembers {
 			break
 		}
-		if me, ok := gs.view.Get(id); ok {
-			msg.Members = append(msg.Members, me)
+		me, ok := gs.view.Get(id)
+		if !ok {
+			delete(gs.sends, id)
+			continue
 		}
-	}
-	for idx := range msg.Members {
-		id := msg.Members[idx].VM
+		msg.Members = append(msg.Members, me)
 		gs.sends[id]++
 		if gs.sends[id] >= limit {
 			delete(gs.sends, id)
@@ -285,6 +309,23 @@
 	return factor * bits.Len(uint(gs.view.Len()))
 }
 
+// nextGone returns, now and then, a node that is gone.
+func (gs *Gossip) nextGone() (Member, bool) {
+	if gs.ticks%gs.cfg.RetryGone != 0 {
+		return Member{}, false
+	}
+	var gone []Member
+	for _, me := range gs.view.List() {
+		if me.Role == RoleNode && me.State == Gone && me.VM != gs.self {
+			gone = append(gone, me)
+		}
+	}
+	if len(gone) == 0 {
+		return Member{}, false
+	}
+	return gone[gs.rnd.IntN(len(gone))], true
+}
+
 // nextPeer walks the nodes in a shuffled order, so that each is probed within one round.
 func (gs *Gossip) nextPeer() (Member, bool) {
 	for try := 0; try < 2; try++ {
