Drive real processes through failures with scripts

testdata/real holds scripts with a command language of their own (procs start, die, freeze, are cut from the platform or reclaimed; requests are asked and their outcomes expected). Found by them and mended in this commit: - two nodes that claimed one seat waited 2 s each round, and were ready before they had one: requests were refused by limit (429) for up to 4 s after a start.

--- a/internal/edge/quota/quota.go
+++ b/internal/edge/quota/quota.go
@@ -87,14 +87,12 @@
 		ro := &tab.Rows[idx]
 		key := ro.Key()
 		cur := old[key]
-		requests, tokens := bo.base(ro, tab.Seats)
 		if cur == nil {
-			cur = &row{
-				requests: limit.NewShare(requests, 1, now),
-				tokens:   limit.NewShare(tokens, leastTokens(ro), now),
-			}
+			cur = &row{requests: limit.NewShare(0, 1, now), tokens: limit.NewShare(0, leastTokens(ro), now)}
 		}
-		cur.rebase(requests, tokens, inFlightPart(ro, tab.Seats), now)
+		requests, tokens := parts(ro, tab.Seats)
+		cur.rebase(requests, tokens, bo.seat, now)
+		cur.setInFlight(inFlightPart(ro, tab.Seats))
 		rows[key] = cur
 		byID[key.String()] = cur
 	}
@@ -108,10 +106,10 @@
 	return min(usual, float64(ro.TokensPerSecond))
 }
 
-func (bo *Book) base(ro *table.Row, seats int) (requests, tokens float64) {
-	if !bo.seat {
-		return 0, 0
-	}
+// floorShare is the part of a seat's rate that a node without a seat borrows in advance.
+const floorShare = 0.1
+
+func parts(ro *table.Row, seats int) (requests, tokens float64) {
 	return ro.RequestsPerSecond / float64(seats), float64(ro.TokensPerSecond) / float64(seats)
 }
 
@@ -120,11 +118,26 @@
 	return int64(max(1, (ro.InFlight+seats-1)/seats))
 }
 
-func (ro *row) rebase(requests, tokens float64, most int64, now time.Time) {
+// rebase sets the owned rates of a node with a seat, or the floors of one without.
+func (ro *row) rebase(requests, tokens float64, seat bool, now time.Time) {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	if seat {
+		ro.requests.SetBase(requests, now)
+		ro.tokens.SetBase(tokens, now)
+		ro.requests.SetFloor(0)
+		ro.tokens.SetFloor(0)
+		return
+	}
+	ro.requests.SetBase(0, now)
+	ro.tokens.SetBase(0, now)
+	ro.requests.SetFloor(requests * floorShare)
+	ro.tokens.SetFloor(tokens * floorShare)
+}
+
+func (ro *row) setInFlight(most int64) {
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
-	ro.requests.SetBase(requests, now)
-	ro.tokens.SetBase(tokens, now)
 	ro.most = most
 }
 
--- a/internal/edge/serve/model.go
+++ b/internal/edge/serve/model.go
@@ -130,7 +130,7 @@
 	if !named {
 		rq = ex.job.ID
 	}
-	se, found := sv.node.Find(sv.ctx, cu, rq)
+	se, found := sv.node.Find(sv.ctx, cu, rq, named)
 	switch {
 	case !found && named:
 		return fault.New(op, KindSessionLost, "no node holds request %s any more; send it anew without %s", rq, HeaderLastEvent)
@@ -167,11 +167,12 @@
 	return fail(ct, out.Failure)
 }
 
-// handOver gives a request that this node could not finish to a peer, if it stopped
-// because the node is leaving.
+// handOver gives a request that this node could not finish to its peers, if it stopped
+// because the node is leaving, or because the connection of a streaming caller broke off.
 func (sv *Server) handOver(ex *exchange, out *flow.Outcome) {
 	const within = 2 * time.Second
-	if !fault.Is(out.Failure.Err, flow.KindHandedOver) {
+	left := fault.Is(out.Failure.Err, flow.KindCanceled) && ex.stream
+	if !left && !fault.Is(out.Failure.Err, flow.KindHandedOver) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), within)
--- a/internal/edge/serve/server.go
+++ b/internal/edge/serve/server.go
@@ -57,8 +57,9 @@
 	Ready() error
 	// Keep hands a session to peers.
 	Keep(ctx context.Context, se *Session) error
-	// Find takes a session over from the peers that keep it.
-	Find(ctx context.Context, cu units.CustomerID, rq units.RequestID) (*Session, bool)
+	// Find takes a session over from the peers that keep it. It looks further if the
+	// caller named the session than if it only may exist.
+	Find(ctx context.Context, cu units.CustomerID, rq units.RequestID, named bool) (*Session, bool)
 	// Claim claims an idempotency key.
 	Claim(ctx context.Context, ke intent.Key, id intent.ID, fingerprint string) (intent.Verdict, *intent.Answer, error)
 	// Record records the end of a claimed request, now or as soon as the log is back.
--- a/internal/edge/serve/stream.go
+++ b/internal/edge/serve/stream.go
@@ -141,8 +141,13 @@
 	for out == nil && ew.flush() {
 		out = li.next(ew)
 	}
-	if out == nil {
-		return // The caller has gone; the deferred cancel ends the run.
+	if out == nil { // The caller has gone.
+		li.cancel()
+		end := <-li.end
+		if end.Failure != nil {
+			li.sv.handOver(li.ex, &end)
+		}
+		return
 	}
 	for pc := li.leftover(); pc != nil; pc = li.leftover() {
 		ew.token(*pc)
--- a/internal/node/daemon/meters.go
+++ b/internal/node/daemon/meters.go
@@ -23,7 +23,7 @@
 		"requests_in_flight": co.InFlight.Load, "retries": co.Retries.Load,
 		"kv_moves": co.Moves.Load, "resumes": co.Resumes.Load,
 		"prompt_tokens": co.Prompt.Load, "recomputed_tokens": co.Recomputed.Load, "generated_tokens": co.Generated.Load,
-		"table_version": da.tableVersion, "members": da.memberCount, "servers_usable": da.usableCount,
+		"table_version": da.tableVersion, "members": da.memberCount, "nodes_alive": da.aliveCount, "servers_usable": da.usableCount,
 		"heap_bytes": heapBytes, "goroutines": func() int64 { return int64(runtime.NumGoroutine()) },
 	} {
 		_ = me.registry.Register(name, metrics.NewFunctionalGauge(read))
@@ -49,6 +49,16 @@
 
 func (da *Daemon) memberCount() int64 { return int64(len(da.members())) }
 
+func (da *Daemon) aliveCount() int64 {
+	count := int64(0)
+	for _, me := range da.members() {
+		if isLiveNode(&me) {
+			count++
+		}
+	}
+	return count
+}
+
 func (da *Daemon) usableCount() int64 {
 	sn := da.fleet.Snapshot()
 	count := int64(0)
--- a/internal/node/daemon/seats.go
+++ b/internal/node/daemon/seats.go
@@ -18,12 +18,12 @@
 
 const (
 	// claimEvery is the time between two claims while this node has no seat.
-	claimEvery = 2 * time.Second
+	claimEvery = 250 * time.Millisecond
 	// unseatedWait is how long a read waits while this node has no seat.
 	unseatedWait = 200 * time.Millisecond
 	// seatPatience is how long a node with a table stays unready for want of a seat.
 	// After it, it serves with what it can borrow.
-	seatPatience = 3 * time.Second
+	seatPatience = 5 * time.Second
 )
 
 func (da *Daemon) instance() units.Instance {
--- a/internal/node/daemon/session.go
+++ b/internal/node/daemon/session.go
@@ -9,6 +9,7 @@
 	"lycheepick/internal/peer/wire"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/units"
+	"lycheepick/internal/state/member"
 	"lycheepick/internal/state/table"
 )
 
@@ -62,10 +63,7 @@
 func (da *Daemon) Keep(ctx context.Context, se *serve.Session) error {
 	const op = "daemon.Keep"
 	kept := 0
-	for _, me := range da.home("session-" + string(se.Request)) {
-		if isSelf(da, &me) {
-			continue
-		}
+	for _, me := range da.sessionHomes(se.Request) {
 		re, err := da.pool.Peer(ctx, me.Address).Handover(ctx, sessionToWire(se))
 		if err == nil && re.GetTaken() {
 			kept++
@@ -81,26 +79,56 @@
 }
 
 // Find implements serve.Node. The peers are asked in the order in which they were
-// given the session, and then one more for each node that may have left since.
-func (da *Daemon) Find(ctx context.Context, cu units.CustomerID, rq units.RequestID) (*serve.Session, bool) {
+// given the session, and for a session that the caller named one more, since a node
+// may have come or gone since. Copies that are left are dropped.
+func (da *Daemon) Find(ctx context.Context, cu units.CustomerID, rq units.RequestID, named bool) (*serve.Session, bool) {
+	look := 1
+	if named {
+		look = copies + 1
+	}
+	homes := da.sessionHomes(rq)
 	if se, ok := da.sessions.take(cu, rq); ok {
+		go da.dropCopies(homes, cu, rq)
 		return se, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTime)
 	defer cancel()
-	ranked := da.home("session-" + string(rq))
-	for _, me := range ranked[:min(copies+1, len(ranked))] {
-		if isSelf(da, &me) {
-			continue
-		}
-		re, err := da.pool.Peer(ctx, me.Address).Fetch(ctx, &wire.FetchRequest{Request: string(rq), Customer: string(cu)})
-		if err == nil && re.GetFound() {
-			return sessionFromWire(re.GetSession()), true
+	for idx, me := range homes[:min(look, len(homes))] {
+		if se, ok := da.fetch(ctx, &me, cu, rq); ok {
+			go da.dropCopies(homes[idx+1:], cu, rq)
+			return se, true
 		}
 	}
 	return nil, false
 }
 
+// sessionHomes returns the peers that may keep a session.
+func (da *Daemon) sessionHomes(rq units.RequestID) []member.Member {
+	var out []member.Member
+	for _, me := range da.home("session-" + string(rq)) {
+		if !isSelf(da, &me) && len(out) <= copies {
+			out = append(out, me)
+		}
+	}
+	return out
+}
+
+func (da *Daemon) fetch(ctx context.Context, me *member.Member, cu units.CustomerID, rq units.RequestID) (*serve.Session, bool) {
+	re, err := da.pool.Peer(ctx, me.Address).Fetch(ctx, &wire.FetchRequest{Request: string(rq), Customer: string(cu)})
+	if err != nil || !re.GetFound() {
+		return nil, false
+	}
+	return sessionFromWire(re.GetSession()), true
+}
+
+func (da *Daemon) dropCopies(homes []member.Member, cu units.CustomerID, rq units.RequestID) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTime)
+	defer cancel()
+	for _, me := range homes {
+		da.fetch(ctx, &me, cu, rq)
+	}
+}
+
 func sessionToWire(se *serve.Session) *wire.Session {
 	return &wire.Session{
 		Request: string(se.Request), Customer: string(se.Customer),
--- /dev/null
+++ b/internal/proof/procs_test.go
@@ -0,0 +1,420 @@
+package proof_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/valyala/fasthttp"
+
+	"lycheepick/internal/fake/stand"
+	"lycheepick/internal/plat/cloud"
+	"lycheepick/internal/rule/units"
+	"lycheepick/internal/state/table"
+)
+
+type fleetKey struct{}
+
+// waitFor bounds every wait for an event; no test depends on how long one takes.
+const waitFor = 60 * time.Second
+
+// procs are the processes of one script.
+type procs struct {
+	env   *testscript.Env
+	dir   string
+	procs map[string]*proc
+	addrs map[string]string
+	links map[string]*link
+	vms   []cloud.VM
+	nodes int
+
+	results map[string]*result
+	loads   map[string]chan *loadEnd
+}
+
+type proc struct {
+	cmd  *exec.Cmd
+	args []string
+	done chan struct{}
+}
+
+func newProcs(env *testscript.Env) *procs {
+	pr := &procs{
+		env: env, dir: env.WorkDir, procs: map[string]*proc{}, addrs: map[string]string{}, links: map[string]*link{},
+		results: map[string]*result{}, loads: map[string]chan *loadEnd{},
+	}
+	env.Defer(pr.stopAll)
+	env.Setenv("LYCHEEPICK_LOG", "http://"+pr.addr("log"))
+	env.Setenv("LYCHEEPICK_NODE", pr.addr("node-1.peers"))
+	env.Setenv("NODE2", pr.addr("node-2.peers"))
+	env.Setenv("ENGINE2", pr.addr("engine-2"))
+	env.Setenv("LYCHEEPICK_SECRET_FILE", filepath.Join(pr.dir, "secret"))
+	return pr
+}
+
+// nextPort counts ports up from below those that the kernel gives to connections.
+var nextPort atomic.Int32
+
+func init() {
+	const first, spread, each = 20000, 100, 100
+	nextPort.Store(int32(first + os.Getpid()%spread*each))
+}
+
+func (pr *procs) addr(name string) string {
+	for pr.addrs[name] == "" {
+		addr := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
+		if ls, err := net.Listen("tcp", addr); err == nil {
+			pr.addrs[name] = addr
+			_ = ls.Close()
+		}
+	}
+	return pr.addrs[name]
+}
+
+func (pr *procs) start(name string, args ...string) error {
+	log, err := os.OpenFile(filepath.Join(pr.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	cmd := exec.Command(filepath.Join(programs, args[0]), args[1:]...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	po := &proc{cmd: cmd, args: args, done: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		close(po.done)
+	}()
+	pr.procs[name] = po
+	return nil
+}
+
+func (pr *procs) signal(name string, sig syscall.Signal) error {
+	po := pr.procs[name]
+	if po == nil {
+		return fmt.Errorf("no process %s", name)
+	}
+	return po.cmd.Process.Signal(sig)
+}
+
+func (pr *procs) stopAll() {
+	for _, po := range pr.procs {
+		_ = po.cmd.Process.Signal(syscall.SIGKILL)
+		<-po.done
+	}
+	for _, li := range pr.links {
+		li.close()
+	}
+}
+
+// up starts the platform, engines, plain services and nodes, one zone for each node.
+func (pr *procs) up(nodes, engines, plains int, extra string) error {
+	if err := pr.start("log", "standin", "log", "--listen", pr.addr("log")); err != nil {
+		return err
+	}
+	if err := pr.start("cloud", "standin", "cloud", "--listen", pr.addr("cloud")); err != nil {
+		return err
+	}
+	for num := 1; num <= engines; num++ {
+		name := fmt.Sprintf("engine-%d", num)
+		args := append([]string{"standin", "engine", "--listen", pr.addr(name)}, strings.Fields(extra)...)
+		if err := pr.start(name, args...); err != nil {
+			return err
+		}
+		pr.list(name, cloud.RoleEngine, "small", num, nodes)
+	}
+	for num := 1; num <= plains; num++ {
+		name := fmt.Sprintf("plain-%d", num)
+		if err := pr.start(name, "standin", "plain", "--listen", pr.addr(name)); err != nil {
+			return err
+		}
+		pr.list(name, cloud.RolePlain, "notify", num, nodes)
+	}
+	if err := os.WriteFile(filepath.Join(pr.dir, "secret"), []byte("a-secret-for-tests-only"), 0o600); err != nil {
+		return err
+	}
+	for num := 1; num <= nodes; num++ {
+		pr.list(fmt.Sprintf("node-%d", num), cloud.RoleNode, "", num, nodes)
+	}
+	if err := pr.awaitHTTP("cloud", "/vms"); err != nil {
+		return err
+	}
+	if err := pr.post("cloud", "/admin/vms", pr.vms); err != nil {
+		return err
+	}
+	pr.nodes = nodes
+	for num := 1; num <= nodes; num++ {
+		if err := pr.startNode(fmt.Sprintf("node-%d", num)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (pr *procs) list(name string, role cloud.Role, target units.TargetID, num, zones int) {
+	addr := pr.addr(name)
+	if role == cloud.RoleNode {
+		addr = pr.addr(name + ".peers")
+	}
+	pr.vms = append(pr.vms, cloud.VM{
+		Instance: units.Instance{VM: units.VMID(name), Incarnation: 1}, Zone: units.ZoneID(fmt.Sprintf("zone-%d", (num-1)%zones+1)),
+		Role: role, Address: addr, Target: target, Class: "std", State: cloud.StateLive,
+	})
+}
+
+// startNode starts a node whose calls to the platform go over links that can be cut.
+func (pr *procs) startNode(name string) error {
+	for _, what := range []string{"log", "cloud"} {
+		if pr.links[name+"."+what] == nil {
+			li, err := newLink(pr.addr(what))
+			if err != nil {
+				return err
+			}
+			pr.links[name+"."+what] = li
+		}
+	}
+	zone := "zone-" + strings.TrimPrefix(name, "node-")
+	settings := fmt.Sprintf(`{"vm":{"id":%q,"incarnation":1,"zone":%q},
+"listen":{"callers":%q,"peers":%q},"platform":{"log":"http://%s","cloud":"http://%s"},
+"seeds":[%q],"secret":{"file":%q},"timing":{"grace":"2s","vm_list":"200ms","gossip":"200ms","suspect":"3s"},"log":{"level":"debug"}}`,
+		name, zone, pr.addr(name), pr.addr(name+".peers"), pr.links[name+".log"].addr(), pr.links[name+".cloud"].addr(),
+		pr.addr("node-1.peers"), filepath.Join(pr.dir, "secret"))
+	file := filepath.Join(pr.dir, name+".json")
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		return err
+	}
+	return pr.start(name, "lycheepickd", "--config", file)
+}
+
+func (pr *procs) post(name, path string, body any) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + pr.addr(name) + path)
+	req.Header.SetMethod("POST")
+	req.Header.SetContentType("application/json")
+	req.SetBody(raw)
+	if err := fasthttp.DoTimeout(req, resp, waitFor); err != nil {
+		return err
+	}
+	if resp.StatusCode() >= fasthttp.StatusBadRequest {
+		return fmt.Errorf("%s%s: status %d: %s", name, path, resp.StatusCode(), resp.Body())
+	}
+	return nil
+}
+
+func (pr *procs) get(name, path string) (int, []byte, error) {
+	return fasthttp.GetTimeout(nil, "http://"+pr.addr(name)+path, 5*time.Second)
+}
+
+// await polls until check returns nil.
+func await(what string, check func() error) error {
+	until := time.Now().Add(waitFor)
+	for {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(until) {
+			return fmt.Errorf("gave up waiting for %s: %w", what, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (pr *procs) awaitHTTP(name, path string) error {
+	return await(name+path, func() error {
+		code, _, err := pr.get(name, path)
+		if err == nil && code != fasthttp.StatusOK {
+			err = fmt.Errorf("status %d", code)
+		}
+		return err
+	})
+}
+
+// publishFirst puts a table in force everywhere and waits until all nodes are ready.
+func (pr *procs) publishFirst() error {
+	tab := &table.Table{
+		Seats:     4,
+		Customers: []table.Customer{{ID: "bluebonnet", KeyHashes: []string{table.HashKey("key")}}, {ID: "dernek", KeyHashes: []string{table.HashKey("other")}}},
+	}
+	for _, cu := range tab.Customers {
+		tab.Rows = append(tab.Rows,
+			table.Row{
+				Customer: cu.ID, TargetType: table.TargetModel, Target: "small", Kind: "default", Weight: 10, RequestsPerSecond: 4000,
+				TokensPerSecond: 1e7, InFlight: 4000, FirstToken: 5e9, BetweenTokens: 1e9, Deadline: 60e9, Idempotent: true, Attempts: 5,
+			},
+			table.Row{
+				Customer: cu.ID, TargetType: table.TargetService, Target: "notify", Kind: "default", Weight: 10, RequestsPerSecond: 4000,
+				InFlight: 4000, FirstToken: 5e9, Deadline: 20e9, Attempts: 3,
+			})
+	}
+	file := filepath.Join(pr.dir, "table.json")
+	if err := os.WriteFile(file, tab.Encode(), 0o600); err != nil {
+		return err
+	}
+	if err := pr.awaitHTTP("log", "/streams/table/records?from=0"); err != nil {
+		return err
+	}
+	cmd := exec.Command(filepath.Join(programs, "lycheepick"), "table", "publish", file, "--author", "test", "--log", "http://"+pr.addr("log"))
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return fmt.Errorf("%w: %s", err, out)
+	}
+	for num := 1; num <= pr.nodes; num++ {
+		if err := pr.awaitNode(fmt.Sprintf("node-%d", num)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitNode waits until a node is ready and sees every backend server.
+func (pr *procs) awaitNode(name string) error {
+	servers := 0
+	for _, vm := range pr.vms {
+		if vm.Role != cloud.RoleNode {
+			servers++
+		}
+	}
+	if err := pr.awaitHTTP(name, "/readyz"); err != nil {
+		return err
+	}
+	return pr.awaitMetric(name, "servers_usable", "==", float64(servers))
+}
+
+func (pr *procs) metric(name, metric string) (float64, error) {
+	if strings.HasPrefix(name, "engine-") {
+		_, body, err := pr.get(name, "/admin/stats")
+		var stats stand.EngineStats
+		if err == nil {
+			err = json.Unmarshal(body, &stats)
+		}
+		return float64(stats.Running), err
+	}
+	_, body, err := pr.get(name, "/metrics")
+	if err != nil {
+		return 0, err
+	}
+	for _, line := range strings.Split(string(body), "\n") {
+		if rest, ok := strings.CutPrefix(line, "lycheepick_"+metric+" "); ok {
+			var val float64
+			_, err := fmt.Sscan(rest, &val)
+			return val, err
+		}
+	}
+	return 0, fmt.Errorf("%s has no metric %s", name, metric)
+}
+
+func (pr *procs) awaitMetric(name, metric, op string, want float64) error {
+	return await(fmt.Sprintf("%s of %s %s %v", metric, name, op, want), func() error {
+		have, err := pr.metric(name, metric)
+		if err != nil {
+			return err
+		}
+		if (op == "==" && have == want) || (op == ">=" && have >= want) || (op == "<=" && have <= want) {
+			return nil
+		}
+		return fmt.Errorf("have %v", have)
+	})
+}
+
+// link passes connections on until it is cut.
+type link struct {
+	ls     net.Listener
+	to     string
+	mu     sync.Mutex
+	down   bool
+	active map[net.Conn]bool
+}
+
+func newLink(to string) (*link, error) {
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	li := &link{ls: ls, to: to, active: map[net.Conn]bool{}}
+	go li.accept()
+	return li, nil
+}
+
+func (li *link) addr() string { return li.ls.Addr().String() }
+
+func (li *link) accept() {
+	for {
+		cn, err := li.ls.Accept()
+		if err != nil {
+			return
+		}
+		go li.pass(cn)
+	}
+}
+
+func (li *link) pass(cn net.Conn) {
+	defer func() { _ = cn.Close() }()
+	if !li.add(cn) {
+		return
+	}
+	defer li.drop(cn)
+	up, err := net.Dial("tcp", li.to)
+	if err != nil {
+		return
+	}
+	defer func() { _ = up.Close() }()
+	if !li.add(up) {
+		return
+	}
+	defer li.drop(up)
+	go func() {
+		_, _ = io.Copy(up, cn)
+		_ = up.Close()
+	}()
+	_, _ = io.Copy(cn, up)
+}
+
+func (li *link) add(cn net.Conn) bool {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	if li.down {
+		return false
+	}
+	li.active[cn] = true
+	return true
+}
+
+func (li *link) drop(cn net.Conn) {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	delete(li.active, cn)
+}
+
+func (li *link) set(down bool) {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	li.down = down
+	for cn := range li.active {
+		if down {
+			_ = cn.Close()
+		}
+	}
+}
+
+func (li *link) close() {
+	li.set(true)
+	_ = li.ls.Close()
+}
--- a/internal/rule/limit/limit.go
+++ b/internal/rule/limit/limit.go
@@ -47,6 +47,8 @@
 	demand float64
 	// least is the burst that lets the largest single request pass.
 	least float64
+	// floor is the allowance to hold whatever the demand.
+	floor float64
 }
 
 // Loan is an amount that one node lent to another.
@@ -75,6 +77,10 @@
 	sh.base = base
 }
 
+// SetFloor makes the share want at least so many units a second whatever its demand, so
+// that a node that owns nothing can admit its first requests.
+func (sh *Share) SetFloor(floor float64) { sh.floor = floor }
+
 func (sh *Share) capacity(rate float64) float64 {
 	if rate <= 0 {
 		return 0
@@ -156,7 +162,7 @@
 // Wants returns the amount to borrow, or 0 if the allowance covers the demand.
 func (sh *Share) Wants(now time.Time) float64 {
 	sh.advance(now)
-	want := sh.demand*headroom - sh.Rate(now)
+	want := max(sh.demand*headroom, sh.floor) - sh.Rate(now)
 	if want < sh.base*leastLoan || want <= 0 {
 		return 0
 	}
@@ -212,7 +218,7 @@
 	rate := sh.Rate(now)
 	var out []Loan
 	for _, lo := range sh.in {
-		if lo.Until.Sub(now) < LoanTime/2 && sh.demand*headroom > rate-lo.Amount {
+		if lo.Until.Sub(now) < LoanTime/2 && max(sh.demand*headroom, sh.floor) > rate-lo.Amount {
 			out = append(out, lo)
 		}
 	}
