Measure the routing policies on seeded workloads

cmd/measure route plays the decisions alone: round robin, least in flight, the cost policy, the cost policy that asks for the present state of its choice, and an oracle. Cause of the gap: eight nodes choose on reports 250 ms apart and 200 ms old, unaware of each other's dispatches. Ruled out: the policy itself, since the oracle runs the same one. Conclusion: each replica needs one node that knows what was sent to it.

--- /dev/null
+++ b/cmd/measure/route.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"time"
+
+	"lycheepick/internal/bench/replay"
+	"lycheepick/internal/rule/route"
+	"lycheepick/internal/rule/units"
+)
+
+const routeUsage = `measure route plays the same seeded workloads to each routing policy.
+
+usage: measure route [--size today|design] [--seed N] [--for D]
+
+  --size S   today: both deployments of the brief; design: 360 nodes, 100 replicas of one
+             model (default: today)
+  --for D    virtual time of each run (default: 60s)
+`
+
+type routeCmd struct {
+	Size string        `arg:"--size" default:"today"`
+	Seed uint64        `arg:"--seed" default:"1"`
+	For  time.Duration `arg:"--for" default:"60s"`
+}
+
+func (*routeCmd) usage() string { return routeUsage }
+
+// deployment is one of the sizes that are measured.
+type deployment struct {
+	name        string
+	engines     int
+	zones       int
+	nodes       int
+	engine      replay.Engine
+	work        replay.Work
+	rate        float64
+	reportEvery time.Duration
+}
+
+func deployments(size string, du time.Duration) []deployment {
+	if size == "design" {
+		return []deployment{designSize(du)}
+	}
+	bluebonnet := deployment{
+		name: "Bluebonnet", engines: 9, zones: 3, nodes: 8, rate: 40, reportEvery: 250 * time.Millisecond,
+		engine: replay.Engine{Slots: 16, PrefillRate: 8000, Step: 8 * time.Millisecond, CacheBlocks: 400},
+		work: replay.Work{
+			For: du, Prefixes: 60, Skew: 1, PrefixTokens: 1536, OwnTokens: 512, OutputTokens: 200,
+			FirstToken: 1100 * time.Millisecond, Between: 32 * time.Millisecond,
+		},
+	}
+	association := deployment{
+		name: "Association", engines: 18, zones: 3, nodes: 8, rate: 36, reportEvery: 400 * time.Millisecond,
+		engine: replay.Engine{Slots: 16, PrefillRate: 8000, Step: 5 * time.Millisecond, CacheBlocks: 800},
+		work: replay.Work{
+			For: du, Prefixes: 80, Skew: 0.5, PrefixTokens: 3072, OwnTokens: 1024, OutputTokens: 500,
+			FirstToken: 1100 * time.Millisecond, Between: 32 * time.Millisecond,
+		},
+	}
+	return []deployment{bluebonnet, association}
+}
+
+// designSize is one of six models at the size of letter 1: a sixth of the replicas and
+// of the requests, over all nodes, each of which asks 50 replicas a second of 600.
+func designSize(du time.Duration) deployment {
+	return deployment{
+		name: "design size", engines: 100, zones: 5, nodes: 360, rate: 1300, reportEvery: 12 * time.Second,
+		engine: replay.Engine{Slots: 64, PrefillRate: 40000, Step: 12 * time.Millisecond, CacheBlocks: 2000},
+		work: replay.Work{
+			For: du, Prefixes: 400, Skew: 1, PrefixTokens: 1536, OwnTokens: 512, OutputTokens: 244,
+			FirstToken: 1100 * time.Millisecond, Between: 32 * time.Millisecond,
+		},
+	}
+}
+
+func (de *deployment) config(seed uint64) replay.Config {
+	cfg := replay.Config{
+		Nodes: de.nodes, Work: de.work, ReportEvery: de.reportEvery, Lag: 200 * time.Millisecond, Seed: seed,
+		CacheEvents: true, CacheLag: 2 * time.Second, CacheLoss: 0.2,
+	}
+	for num := range de.engines {
+		en := de.engine
+		zone := num % de.zones
+		en.Zone = units.ZoneID(fmt.Sprint("zone-", zone+1))
+		en.Price = units.PricePerHour(2 + 0.4*float64(zone))
+		cfg.Engines = append(cfg.Engines, en)
+	}
+	return cfg
+}
+
+// workload is one of the shapes that are measured.
+type workload struct {
+	name  string
+	shape func(cfg *replay.Config, rate float64)
+}
+
+func workloads() []workload {
+	return []workload{
+		{"steady", func(cfg *replay.Config, rate float64) { cfg.Work.Rate = constant(rate) }},
+		{"follow the sun", func(cfg *replay.Config, rate float64) {
+			half := cfg.Work.For.Seconds() / 2
+			cfg.Work.Rate = func(at time.Duration) float64 {
+				return rate * (0.7 + 0.45*math.Sin(at.Seconds()/half*math.Pi))
+			}
+		}},
+		{"hot prefix", func(cfg *replay.Config, rate float64) {
+			cfg.Work.Rate = constant(rate)
+			cfg.Work.Skew = 6
+		}},
+		{"one replica at a tenth", func(cfg *replay.Config, rate float64) {
+			cfg.Work.Rate = constant(rate)
+			cfg.Events = []replay.Event{{At: cfg.Work.For / 4, Engine: 0, Slow: 10}}
+		}},
+		{"zone reclaimed at the peak", func(cfg *replay.Config, rate float64) {
+			cfg.Work.Rate = constant(rate)
+			cfg.Events = []replay.Event{{At: cfg.Work.For / 2, Reclaim: "zone-1", Notice: 5 * time.Second}}
+		}},
+		{"prices move", func(cfg *replay.Config, rate float64) {
+			cfg.Work.Rate = constant(rate * 0.7)
+			cfg.Events = []replay.Event{{At: cfg.Work.For / 3, Prices: "zone-1", Factor: 3}, {At: cfg.Work.For * 2 / 3, Prices: "zone-3", Factor: 0.3}}
+		}},
+	}
+}
+
+func constant(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+// variant is one way to route.
+type variant struct {
+	name  string
+	apply func(cfg *replay.Config)
+}
+
+func variants() []variant {
+	cost := func() route.Policy { return route.NewCost() }
+	out := []variant{
+		{"round robin", func(cfg *replay.Config) { cfg.Policy = func() route.Policy { return &route.RoundRobin{} } }},
+		{"least in flight", func(cfg *replay.Config) { cfg.Policy = func() route.Policy { return route.LeastInFlight{} } }},
+		{"cost", func(cfg *replay.Config) { cfg.Policy = cost }},
+	}
+	for _, most := range []int{1, 2, 4} {
+		out = append(out, variant{fmt.Sprintf("cost, asks up to %d", most), func(cfg *replay.Config) {
+			cfg.Policy, cfg.Ask = cost, most
+		}})
+	}
+	return append(out, variant{"oracle", func(cfg *replay.Config) {
+		cfg.Policy, cfg.Exact, cfg.Nodes = cost, true, 1
+	}})
+}
+
+func (rc *routeCmd) run(ctx context.Context) error {
+	for _, de := range deployments(rc.Size, rc.For) {
+		fmt.Printf("\n**%s**: %d replicas in %d zones, %d nodes, %.0f requests/s, seed %d\n\n", de.name, de.engines, de.zones, de.nodes, de.rate, rc.Seed)
+		fmt.Println("| workload | policy | first token p95 | p99 | between p95 | within target | $ per 1000 within target | prefilled tokens | recomputed | worst share | questions a request |")
+		fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|")
+		for _, wl := range workloads() {
+			for _, va := range variants() {
+				if ctx.Err() != nil {
+					return ctx.Err()
+				}
+				cfg := de.config(rc.Seed)
+				wl.shape(&cfg, de.rate)
+				va.apply(&cfg)
+				re := replay.Run(cfg)
+				fmt.Printf("| %s | %s | %d ms | %d ms | %d ms | %.1f%% | %.3f | %d | %d | %.2f | %.2f |\n", wl.name, va.name,
+					re.First95.Milliseconds(), re.First99.Milliseconds(), re.Between95.Milliseconds(),
+					100*float64(re.Within)/float64(max(1, re.Requests)), re.CostPerThousand, re.Prefilled, re.Recomputed, re.WorstShare, float64(re.Asks)/float64(max(1, re.Requests)))
+			}
+		}
+	}
+	return nil
+}
--- a/internal/node/daemon/session.go
+++ b/internal/node/daemon/session.go
@@ -88,14 +88,14 @@
 	}
 	homes := da.sessionHomes(rq)
 	if se, ok := da.sessions.take(cu, rq); ok {
-		go da.dropCopies(homes, cu, rq)
+		go da.dropCopies(context.WithoutCancel(ctx), homes, cu, rq)
 		return se, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTime)
 	defer cancel()
 	for idx, me := range homes[:min(look, len(homes))] {
 		if se, ok := da.fetch(ctx, &me, cu, rq); ok {
-			go da.dropCopies(homes[idx+1:], cu, rq)
+			go da.dropCopies(context.WithoutCancel(ctx), homes[idx+1:], cu, rq)
 			return se, true
 		}
 	}
@@ -121,8 +121,8 @@
 	return sessionFromWire(re.GetSession()), true
 }
 
-func (da *Daemon) dropCopies(homes []member.Member, cu units.CustomerID, rq units.RequestID) {
-	ctx, cancel := context.WithTimeout(context.Background(), peerTime)
+func (da *Daemon) dropCopies(ctx context.Context, homes []member.Member, cu units.CustomerID, rq units.RequestID) {
+	ctx, cancel := context.WithTimeout(ctx, peerTime)
 	defer cancel()
 	for _, me := range homes {
 		da.fetch(ctx, &me, cu, rq)
