Ask a replica's steward for its state before a request goes there

Change: each replica has a steward, the first live node in rendezvous order. Tried and reverted: to fade a report's running requests out over the time that a request lasts, so that old reports keep no one away.

--- a/cmd/measure/route.go
+++ b/cmd/measure/route.go
@@ -76,11 +76,17 @@
 	}
 }
 
+// largeFleet is the number of nodes above which no node follows every engine's cache.
+const largeFleet = 32
+
 func (de *deployment) config(seed uint64) replay.Config {
 	cfg := replay.Config{
 		Nodes: de.nodes, Work: de.work, ReportEvery: de.reportEvery, Lag: 200 * time.Millisecond, Seed: seed,
 		CacheEvents: true, CacheLag: 2 * time.Second, CacheLoss: 0.2,
 	}
+	if de.nodes > largeFleet {
+		cfg.CacheEvents = false // At this size only stewards follow the caches.
+	}
 	for num := range de.engines {
 		en := de.engine
 		zone := num % de.zones
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -25,8 +25,12 @@
 	byVM     map[units.VMID]*route.Replica
 	members  []member.Member
 	waves    []units.ZoneID
+	stewards map[units.VMID]*member.Member
 }
 
+// Steward returns the node that is the steward of a backend server, or nil.
+func (sn *Snapshot) Steward(id units.VMID) *member.Member { return sn.stewards[id] }
+
 // Replicas returns the backend servers of a target.
 func (sn *Snapshot) Replicas(ta units.TargetID) []*route.Replica { return sn.byTarget[ta] }
 
@@ -51,9 +55,13 @@
 
 	mu      sync.Mutex
 	members []member.Member
-	servers map[units.VMID]*server
-	prices  map[priceKey]units.PricePerHour
-	dirty   bool
+	// stewards is computed again when the signature, a sum over the live nodes and
+	// the servers, changes.
+	stewards  map[units.VMID]*member.Member
+	signature uint64
+	servers   map[units.VMID]*server
+	prices    map[priceKey]units.PricePerHour
+	dirty     bool
 }
 
 type priceKey struct {
@@ -85,6 +93,10 @@
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	fl.members = list
+	if sig := signature(list); sig != fl.signature {
+		fl.signature = sig
+		fl.stewards = stewards(list)
+	}
 	fl.publish()
 }
 
@@ -176,7 +188,7 @@
 	sn := &Snapshot{
 		byTarget: map[units.TargetID][]*route.Replica{},
 		byVM:     map[units.VMID]*route.Replica{},
-		members:  fl.members,
+		members:  fl.members, stewards: fl.stewards,
 	}
 	known := make(map[units.VMID]*server, len(fl.servers))
 	waves := map[units.ZoneID]bool{}
@@ -216,3 +228,37 @@
 		Load:   se.load, Track: se.track, Cache: se.cache,
 	}
 }
+
+func signature(list []member.Member) uint64 {
+	sig := uint64(1)
+	for idx := range list {
+		me := &list[idx]
+		if me.Role != member.RoleNode || me.State == member.Alive {
+			sig ^= member.Score(me.Address, me.VM)
+		}
+	}
+	return sig
+}
+
+// stewards picks the live node with the highest rendezvous score for each server.
+func stewards(list []member.Member) map[units.VMID]*member.Member {
+	out := map[units.VMID]*member.Member{}
+	for idx := range list {
+		if list[idx].Role == member.RoleNode {
+			continue
+		}
+		var best *member.Member
+		var high uint64
+		for num := range list {
+			no := &list[num]
+			if no.Role != member.RoleNode || no.State != member.Alive {
+				continue
+			}
+			if score := member.Score(string(list[idx].VM), no.VM); best == nil || score > high {
+				best, high = no, score
+			}
+		}
+		out[list[idx].VM] = best
+	}
+	return out
+}
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -72,6 +72,8 @@
 	Plain  *plain.Client
 	Policy route.Policy
 	Counts Counts
+	// Stewards tell the present state of replicas.
+	Stewards Stewards
 	// Draining is told of a backend server that refused work because it is leaving.
 	Draining func(units.VMID)
 
@@ -79,6 +81,13 @@
 	running runningSet
 }
 
+// Stewards tell the present state of replicas to a node that is about to use them.
+type Stewards interface {
+	// Ask returns the state of a replica and notes that the request is about to go
+	// there. ok is false if no one could tell.
+	Ask(ctx context.Context, re *route.Replica, as *route.Ask) (st route.State, ok bool)
+}
+
 // Counts are the totals that the metrics show.
 type Counts struct {
 	Accepted, Done, NotRun, Unknown atomic.Int64
@@ -188,8 +197,11 @@
 		sn := fl.Fleet.Snapshot()
 		ask.AvoidZones = sn.Waves()
 		now := time.Now()
-		if ch, ok := fl.Policy.Choose(now, ask, sn.Replicas(ta)); ok {
-			ch.Replica.Track.Dispatched(now, ask.PromptTokens-ch.Cached)
+		if ch, noted, ok := fl.chooseTold(ctx, now, ask, sn.Replicas(ta)); ok {
+			if !noted {
+				ch.Replica.Track.Dispatched(now, ask.PromptTokens-ch.Cached)
+			}
+			ch.Replica.Cache.Hold(ask.Prefix)
 			return ch, true
 		}
 		// A request that has failed everywhere may try the same servers again.
@@ -200,6 +212,48 @@
 	}
 }
 
+// mostAsked bounds the questions to stewards for one choice.
+const mostAsked = 4
+
+// chooseTold chooses, asks the steward of the choice for its state, and chooses again if
+// that speaks for another. The returned replica is the one of the snapshot; noted tells
+// whether the dispatch counts in its Track already.
+func (fl *Flow) chooseTold(ctx context.Context, now time.Time, ask *route.Ask, replicas []*route.Replica) (ch route.Choice, noted, ok bool) {
+	list := append([]*route.Replica(nil), replicas...)
+	told := map[units.VMID]bool{}
+	for {
+		ch, ok = fl.Policy.Choose(now, ask, list)
+		if !ok {
+			return ch, false, false
+		}
+		id := ch.Replica.VM
+		if was, asked := told[id]; asked || len(told) == mostAsked || ask.PromptTokens == 0 {
+			ch.Replica = original(replicas, id)
+			return ch, was, true
+		}
+		st, answered := fl.Stewards.Ask(ctx, ch.Replica, ask)
+		if !answered {
+			ch.Replica = original(replicas, id)
+			return ch, false, true
+		}
+		told[id] = st.Noted
+		for idx, re := range list {
+			if re.VM == id {
+				list[idx] = re.Told(&st, ask.Prefix)
+			}
+		}
+	}
+}
+
+func original(replicas []*route.Replica, id units.VMID) *route.Replica {
+	for _, re := range replicas {
+		if re.VM == id {
+			return re
+		}
+	}
+	return nil
+}
+
 func sleep(ctx context.Context, du time.Duration) bool {
 	tm := time.NewTimer(du)
 	defer tm.Stop()
--- a/internal/node/config/config.go
+++ b/internal/node/config/config.go
@@ -116,7 +116,7 @@
 	return Settings{
 		Limits: Limits{
 			MemoryBytes: 128 << 20, BodyBytes: 4 << 20, HeaderBytes: 16 << 10, Connections: 4096,
-			Sessions: 1000, ProbesPerSecond: 50,
+			Sessions: 1000, ProbesPerSecond: 25,
 		},
 		Timing: Timing{
 			Grace:  units.Duration(20 * time.Second),
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -125,7 +125,7 @@
 	da.flow = &flow.Flow{
 		Fleet: da.fleet, Gates: gate.New(), Quota: da.quota,
 		Engine: engine.NewClient(ca), Plain: plain.NewClient(ca), Policy: route.NewCost(),
-		Draining: da.serverDraining,
+		Stewards: da, Draining: da.serverDraining,
 	}
 	da.meters = newMeters(da)
 	return da
@@ -153,7 +153,7 @@
 	wg.Go(func() { failed <- fault.Wrap(op, KindListen, da.server.Listen(da.set.Listen.Callers)) })
 	for _, loop := range []func(context.Context){
 		da.gossipLoop, da.tableLoop, da.seatLoop, da.vmLoop, da.noticeLoop, da.priceLoop,
-		da.loadLoop, da.refreshLoop, da.borrowLoop, da.outboxLoop, da.auditLoop,
+		da.loadLoop, da.otherLoadLoop, da.refreshLoop, da.borrowLoop, da.outboxLoop, da.auditLoop,
 	} {
 		wg.Go(func() { loop(work) })
 	}
--- a/internal/node/daemon/load.go
+++ b/internal/node/daemon/load.go
@@ -25,25 +25,42 @@
 	plainSlots = 64
 )
 
-// loadLoop asks the backend servers for their load in turn, as often as the settings
-// say and never more often than the bound on probes allows.
+// loadLoop asks the servers that this node is the steward of for their load.
 func (da *Daemon) loadLoop(ctx context.Context) {
+	da.probeLoop(ctx, da.set.Timing.Load.Std(), true)
+}
+
+// otherLoadLoop asks the other servers, more seldom: their stewards are asked before a
+// request goes there.
+func (da *Daemon) otherLoadLoop(ctx context.Context) {
+	const seldom = 4
+	da.probeLoop(ctx, seldom*da.set.Timing.Load.Std(), false)
+}
+
+// probeLoop asks servers in turn, one round each period, and never more often than the
+// bound on probes allows.
+func (da *Daemon) probeLoop(ctx context.Context, period time.Duration, own bool) {
+	pace := time.Second / time.Duration(da.set.Limits.ProbesPerSecond)
 	for ctx.Err() == nil {
 		began := time.Now()
-		pace := time.Second / time.Duration(da.set.Limits.ProbesPerSecond)
 		po := pool.New().WithMaxGoroutines(probesAtOnce)
 		for _, me := range da.members() {
-			if me.Role == member.RoleNode || me.State == member.Gone || ctx.Err() != nil {
+			if me.Role == member.RoleNode || me.State == member.Gone || da.isSteward(me.VM) != own {
 				continue
 			}
 			po.Go(func() { da.probe(ctx, &me) })
 			wait(ctx, pace)
 		}
 		po.Wait()
-		wait(ctx, da.set.Timing.Load.Std()-time.Since(began))
+		wait(ctx, period-time.Since(began))
 	}
 }
 
+func (da *Daemon) isSteward(id units.VMID) bool {
+	st := da.stewardOf(id)
+	return st != nil && isSelf(da, st)
+}
+
 func (da *Daemon) probe(ctx context.Context, me *member.Member) {
 	ctx, cancel := context.WithTimeout(ctx, probeTime)
 	defer cancel()
--- /dev/null
+++ b/internal/rule/route/state.go
@@ -0,0 +1,42 @@
+package route
+
+import (
+	"time"
+
+	"lycheepick/internal/rule/units"
+)
+
+// State is what a replica's steward knows of it.
+type State struct {
+	// Load is as of now: the report, what was dispatched since, and what the engine
+	// has computed since.
+	Load Load
+	// Cached is the number of leading prompt tokens in the replica's cache.
+	Cached units.Tokens
+	Usable bool
+	// Noted is set if the dispatch already counts in the replica's own Track.
+	Noted bool
+}
+
+// Now returns the present state of a replica for a prefix.
+func Now(now time.Time, re *Replica, prefix []units.PrefixKey) State {
+	count, tokens := re.Track.Since(re.Load.At)
+	st := State{Load: re.Load, Cached: re.Cache.Match(prefix), Usable: re.Usable}
+	drained := units.Tokens(now.Sub(re.Load.At).Seconds() * float64(re.Load.PrefillRate))
+	st.Load.QueuedTokens = max(0, re.Load.QueuedTokens+tokens-drained)
+	st.Load.Queued += count
+	st.Load.At = now
+	return st
+}
+
+// Told returns the replica with what its steward said in place of what this node knew.
+// The copy shares nothing that requests change.
+func (re *Replica) Told(st *State, prefix []units.PrefixKey) *Replica {
+	out := *re
+	out.Load = st.Load
+	out.Usable = re.Usable && st.Usable
+	out.Track = &Track{}
+	out.Cache = NewCache(len(prefix))
+	out.Cache.Hold(prefix[:min(len(prefix), int(st.Cached/BlockTokens))])
+	return &out
+}
