--- a/cmd/measure/keys.go
+++ b/cmd/measure/keys.go
@@ -1,9 +1,101 @@
 package main
 
-import "context"
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
 
-type keysCmd struct{}
+	"github.com/HdrHistogram/hdrhistogram-go"
 
-func (*keysCmd) usage() string { return "" }
+	"lycheepick/internal/edge/keys"
+	"lycheepick/internal/fake/stand"
+	"lycheepick/internal/plat/logsvc"
+	"lycheepick/internal/rule/units"
+	"lycheepick/internal/state/intent"
+)
 
-func (*keysCmd) run(context.Context) error { return nil }
+const keysUsage = `measure keys claims idempotency keys through a stand-in of the log service.
+
+usage: measure keys [--for D]
+
+  --for D   time of each part (default: 4s)
+`
+
+type keysCmd struct {
+	For time.Duration `arg:"--for" default:"4s"`
+}
+
+func (*keysCmd) usage() string { return keysUsage }
+
+func (kc *keysCmd) run(ctx context.Context) error {
+	fmt.Println("| claims offered a second | log answers after | claims a second | appends a second | claims an append | added latency p50 | p95 | p99 |")
+	fmt.Println("|---|---|---|---|---|---|---|---|")
+	for _, slow := range []time.Duration{0, 10 * time.Millisecond} {
+		for _, rate := range []int{50, 400, 1600} {
+			if err := kc.one(ctx, rate, slow); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// counted counts the appends of a log.
+type counted struct {
+	logsvc.Log
+	mu      sync.Mutex
+	appends int
+	slow    time.Duration
+}
+
+// Append implements logsvc.Log.
+func (co *counted) Append(ctx context.Context, st logsvc.Stream, body any) (units.Offset, error) {
+	co.mu.Lock()
+	co.appends++
+	co.mu.Unlock()
+	time.Sleep(co.slow)
+	return co.Log.Append(ctx, st, body)
+}
+
+func (kc *keysCmd) one(ctx context.Context, rate int, slow time.Duration) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ready := make(chan string, 1)
+	go func() {
+		_ = stand.Serve(ctx, stand.NewLog(time.Hour).App(), "127.0.0.1:0", func(addr string) { ready <- addr })
+	}()
+	log := &counted{Log: logsvc.New("http://" + <-ready), slow: slow}
+	le := keys.NewLedger(ctx, log, func(do func()) { go do() })
+	const highest, digits = 60_000_000, 3
+	hist := hdrhistogram.New(1, highest, digits)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	gap := time.Second / time.Duration(rate)
+	began := time.Now()
+	failed := 0
+	for num := 0; time.Since(began) < kc.For; num++ {
+		time.Sleep(time.Until(began.Add(time.Duration(num) * gap)))
+		wg.Go(func() {
+			sent := time.Now()
+			ke := intent.Key{Customer: "bench", Key: fmt.Sprint(num)}
+			verdict, _, err := le.Claim(ctx, ke, intent.ID(fmt.Sprint(num)), "same")
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil || verdict != intent.Won {
+				failed++
+				return
+			}
+			_ = hist.RecordValue(max(1, time.Since(sent).Microseconds()))
+		})
+	}
+	wg.Wait()
+	took := time.Since(began).Seconds()
+	ms := func(qu float64) float64 { return float64(hist.ValueAtQuantile(qu)) / 1000 }
+	fmt.Printf("| %d | %s | %.0f | %.0f | %.1f | %.1f ms | %.1f ms | %.1f ms |\n", rate, slow, float64(hist.TotalCount())/took,
+		float64(log.appends)/took, float64(hist.TotalCount())/float64(max(1, log.appends)), ms(50), ms(95), ms(99))
+	if failed > 0 {
+		fmt.Printf("\n%d claims failed\n", failed)
+	}
+	return nil
+}
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -191,40 +191,51 @@
 
 // choose picks a replica, and waits for one to become usable for as long as the first
 // token could still come in time. Accepted requests wait longer, up to acceptedWait.
-func (fl *Flow) choose(ctx context.Context, ta units.TargetID, ask *route.Ask, patience time.Duration) (route.Choice, bool) {
+func (fl *Flow) choose(ctx context.Context, ta units.TargetID, ask *route.Ask, patience time.Duration) (picked, bool) {
 	until := time.Now().Add(patience)
 	for {
 		sn := fl.Fleet.Snapshot()
 		ask.AvoidZones = sn.Waves()
 		now := time.Now()
-		if ch, noted, ok := fl.chooseTold(ctx, now, ask, sn.Replicas(ta)); ok {
-			if !noted {
-				ch.Replica.Track.Dispatched(now, ask.PromptTokens-ch.Cached)
+		if ch, ticket, ok := fl.chooseTold(ctx, now, ask, sn.Replicas(ta)); ok {
+			if ticket == 0 {
+				ticket = ch.Replica.Track.Dispatched(now, ask.PromptTokens-ch.Cached)
 			}
 			ch.Replica.Cache.Hold(ask.Prefix)
-			return ch, true
+			return picked{replica: ch.Replica, ticket: ticket}, true
 		}
 		// A request that has failed everywhere may try the same servers again.
 		ask.Avoid = nil
 		if now.After(until) || !sleep(ctx, pickPause) {
-			return route.Choice{}, false
+			return picked{}, false
 		}
 	}
 }
 
+// picked is a replica and the dispatch that is noted there.
+type picked struct {
+	replica *route.Replica
+	ticket  route.Ticket
+	// kvHandle names a KV cache to go on from.
+	kvHandle string
+}
+
+// ended notes that the attempt is over.
+func (pi *picked) ended() { pi.replica.Track.Ended(pi.ticket) }
+
 // mostAsked bounds the questions to stewards for one choice.
 const mostAsked = 4
 
 // chooseTold chooses, asks the steward of the choice for its state, and chooses again if
-// that speaks for another. The returned replica is the one of the snapshot; noted tells
-// whether the dispatch counts in its Track already.
-func (fl *Flow) chooseTold(ctx context.Context, now time.Time, ask *route.Ask, replicas []*route.Replica) (ch route.Choice, noted, ok bool) {
+// that speaks for another. The returned replica is the one of the snapshot; the ticket is
+// set if the dispatch counts in its Track already.
+func (fl *Flow) chooseTold(ctx context.Context, now time.Time, ask *route.Ask, replicas []*route.Replica) (ch route.Choice, ticket route.Ticket, ok bool) {
 	list := append([]*route.Replica(nil), replicas...)
-	told := map[units.VMID]bool{}
+	told := map[units.VMID]route.Ticket{}
 	for {
 		ch, ok = fl.Policy.Choose(now, ask, list)
 		if !ok {
-			return ch, false, false
+			return ch, 0, false
 		}
 		id := ch.Replica.VM
 		if was, asked := told[id]; asked || len(told) == mostAsked || ask.PromptTokens == 0 {
@@ -234,9 +245,9 @@
 		st, answered := fl.Stewards.Ask(ctx, ch.Replica, ask)
 		if !answered {
 			ch.Replica = original(replicas, id)
-			return ch, false, true
+			return ch, 0, true
 		}
-		told[id] = st.Noted
+		told[id] = st.Ticket
 		for idx, re := range list {
 			if re.VM == id {
 				list[idx] = re.Told(&st, ask.Prefix)
--- a/internal/edge/flow/model.go
+++ b/internal/edge/flow/model.go
@@ -159,35 +159,32 @@
 
 // pick returns the replica of the next attempt: the destination of a planned move if
 // it is still usable, or the policy's choice.
-func (ru *run) pick(ctx context.Context) (re *route.Replica, kvHandle string, ok bool) {
+func (ru *run) pick(ctx context.Context) (picked, bool) {
 	if or := ru.next; or != nil {
 		ru.next = nil
 		if re := ru.fl.Fleet.Snapshot().Replica(or.to); re != nil && re.Usable {
-			re.Track.Dispatched(time.Now(), 0)
-			return re, or.kvHandle, true
+			return picked{replica: re, ticket: re.Track.Dispatched(time.Now(), 0), kvHandle: or.kvHandle}, true
 		}
 	}
-	ch, ok := ru.fl.choose(ctx, ru.job.Row.Target, &ru.ask, acceptedWait)
-	if !ok {
-		return nil, "", false
-	}
-	return ch.Replica, "", true
+	return ru.fl.choose(ctx, ru.job.Row.Target, &ru.ask, acceptedWait)
 }
 
 // attempt makes one attempt. It returns nil once the answer is whole.
 func (ru *run) attempt(ctx context.Context) error {
 	const op = "flow.attempt"
-	re, kvHandle, ok := ru.pick(ctx)
+	pi, ok := ru.pick(ctx)
 	if !ok && ctx.Err() != nil {
 		return fault.Wrap(op, KindDeadline, ctx.Err())
 	}
 	if !ok {
 		return fault.New(op, KindNoServer, "no backend server of %s is usable", ru.job.Row.Target)
 	}
+	defer pi.ended()
 	att, ok := ru.ma.Dispatch()
 	if !ok {
 		return fault.New(op, KindBroken, "no attempt is left")
 	}
+	re := pi.replica
 	leave := ru.fl.running.enter(re, ru)
 	defer leave()
 	ctx, cancel := context.WithCancel(ctx)
@@ -196,7 +193,7 @@
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	defer cancel() // Runs before the wait, so that the reader ends.
-	wg.Go(func() { ru.read(ctx, re, att, kvHandle, events) })
+	wg.Go(func() { ru.read(ctx, re, att, pi.kvHandle, events) })
 	err := ru.consume(ctx, re, att, events)
 	ru.settle(re, att, err)
 	return err
--- a/internal/edge/flow/service.go
+++ b/internal/edge/flow/service.go
@@ -53,10 +53,11 @@
 
 func (fl *Flow) serviceOnce(ctx context.Context, ca *Call, ma *answer.Machine, ask *route.Ask) (*plain.Answer, error) {
 	const op = "flow.serviceOnce"
-	ch, ok := fl.choose(ctx, ca.Row.Target, ask, patience)
+	pi, ok := fl.choose(ctx, ca.Row.Target, ask, patience)
 	if !ok {
 		return nil, fault.New(op, KindNoServer, "no backend server of %s is usable", ca.Row.Target)
 	}
+	defer pi.ended()
 	att, ok := ma.Dispatch()
 	if !ok {
 		return nil, fault.New(op, KindBroken, "no attempt is left")
@@ -64,12 +65,12 @@
 	rq := ca.Request
 	rq.Attempt = att
 	rq.Idempotent = ca.Row.Idempotent
-	an, err := fl.Plain.Do(ctx, ch.Replica.Address, &rq)
+	an, err := fl.Plain.Do(ctx, pi.replica.Address, &rq)
 	if err != nil {
-		ask.Avoid = append(ask.Avoid, ch.Replica.VM)
-		return nil, fl.serviceFailed(ctx, ma, att, ch.Replica.VM, err)
+		ask.Avoid = append(ask.Avoid, pi.replica.VM)
+		return nil, fl.serviceFailed(ctx, ma, att, pi.replica.VM, err)
 	}
-	fl.Fleet.Succeeded(ch.Replica.VM)
+	fl.Fleet.Succeeded(pi.replica.VM)
 	ma.Finish(att, 0)
 	return an, nil
 }
--- a/internal/node/daemon/meters.go
+++ b/internal/node/daemon/meters.go
@@ -24,7 +24,7 @@
 		"kv_moves": co.Moves.Load, "resumes": co.Resumes.Load,
 		"prompt_tokens": co.Prompt.Load, "recomputed_tokens": co.Recomputed.Load, "generated_tokens": co.Generated.Load,
 		"table_version": da.tableVersion, "members": da.memberCount, "nodes_alive": da.aliveCount, "servers_usable": da.usableCount,
-		"heap_bytes": heapBytes, "goroutines": func() int64 { return int64(runtime.NumGoroutine()) },
+		"heap_bytes": func() int64 { return int64(memStats().HeapAlloc) }, "allocations": func() int64 { return int64(memStats().Mallocs) }, "goroutines": func() int64 { return int64(runtime.NumGoroutine()) },
 	} {
 		_ = me.registry.Register(name, metrics.NewFunctionalGauge(read))
 	}
@@ -73,8 +73,8 @@
 	return count
 }
 
-func heapBytes() int64 {
-	var ms runtime.MemStats
-	runtime.ReadMemStats(&ms)
-	return int64(ms.HeapAlloc)
+func memStats() *runtime.MemStats {
+	ms := &runtime.MemStats{}
+	runtime.ReadMemStats(ms)
+	return ms
 }
--- a/internal/node/daemon/steward.go
+++ b/internal/node/daemon/steward.go
@@ -32,9 +32,7 @@
 	}
 	fresh := as.PromptTokens
 	if isSelf(da, st) {
-		out, ok := da.reserve(re.Instance, as.Prefix, fresh)
-		out.Noted = true
-		return out, ok
+		return da.reserve(re.Instance, as.Prefix, fresh)
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTime)
 	defer cancel()
@@ -56,7 +54,7 @@
 	}
 	now := time.Now()
 	st := route.Now(now, re, prefix)
-	re.Track.Dispatched(now, max(0, tokens-st.Cached))
+	st.Ticket = re.Track.Dispatched(now, max(0, tokens-st.Cached))
 	re.Cache.Hold(prefix)
 	return st, true
 }
--- a/internal/rule/route/state.go
+++ b/internal/rule/route/state.go
@@ -14,8 +14,8 @@
 	// Cached is the number of leading prompt tokens in the replica's cache.
 	Cached units.Tokens
 	Usable bool
-	// Noted is set if the dispatch already counts in the replica's own Track.
-	Noted bool
+	// Ticket is set if the dispatch already counts in the replica's own Track.
+	Ticket Ticket
 }
 
 // Now returns the present state of a replica for a prefix.
--- a/internal/rule/route/track.go
+++ b/internal/rule/route/track.go
@@ -13,6 +13,7 @@
 	mu   sync.Mutex
 	ring [trackSize]dispatch
 	next int
+	last Ticket
 }
 
 const trackSize = 64
@@ -20,17 +21,36 @@
 type dispatch struct {
 	at     time.Time
 	tokens units.Tokens
+	ticket Ticket
+	ended  bool
 }
 
+// Ticket names one dispatch, so that its end can be noted. The zero value names none.
+type Ticket uint64
+
 // Dispatched notes that a request with so many tokens to compute was sent at now.
-func (tr *Track) Dispatched(now time.Time, tokens units.Tokens) {
+func (tr *Track) Dispatched(now time.Time, tokens units.Tokens) Ticket {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	tr.ring[tr.next] = dispatch{at: now, tokens: tokens}
+	tr.last++
+	tr.ring[tr.next] = dispatch{at: now, tokens: tokens, ticket: tr.last}
 	tr.next = (tr.next + 1) % trackSize
+	return tr.last
 }
 
-// Since returns the number and the tokens of the dispatches after at.
+// Ended notes the end of a request, which from then on takes no slot.
+func (tr *Track) Ended(ti Ticket) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	back := int(tr.last - ti)
+	if ti == 0 || back >= trackSize {
+		return
+	}
+	di := &tr.ring[(tr.next-1-back+2*trackSize)%trackSize]
+	di.ended = di.ended || di.ticket == ti
+}
+
+// Since returns the number and the tokens of the dispatches after at that have not ended.
 func (tr *Track) Since(at time.Time) (count int, tokens units.Tokens) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
@@ -39,6 +59,9 @@
 		if di.at.IsZero() || !di.at.After(at) {
 			break
 		}
+		if di.ended {
+			continue
+		}
 		count++
 		tokens += di.tokens
 	}
