--- a/cmd/measure/gossip.go
+++ b/cmd/measure/gossip.go
@@ -60,11 +60,11 @@
 		}
 	})
 	ne.Count = false
+	hops, rounds := reclaim(ne)
 	dead := detect(ne)
-	hops := reclaim(ne)
 	mistakes := gc.mistakes(nodes)
 	view := float64(ne.Nodes[ne.IDs[0]].View().Len()) * memberBytes / 1024
-	fmt.Printf("| %d | %d | %.0f | %.0f | %.4f%% | %.0f | %s | %d hops | %d |\n", nodes, gossipServers, quiet, busy, cpu*100, view, dead, hops, mistakes)
+	fmt.Printf("| %d | %d | %.0f | %.0f | %.4f%% | %.0f | %s | %d hops, %d periods | %d |\n", nodes, gossipServers, quiet, busy, cpu*100, view, dead, hops, rounds, mistakes)
 }
 
 // memberBytes is the size of a member in memory with its strings and its place in a map.
@@ -104,16 +104,17 @@
 	return took
 }
 
-func reclaim(ne *spread.Net) int {
+// reclaim returns the hops of the first fan-out, and the periods until the last node knew.
+func reclaim(ne *spread.Net) (hops, rounds int) {
 	me := server(7)
 	me.Incarnation, me.State = 100, member.Leaving
 	ne.Nodes[ne.IDs[1]].Observe(me, ne.Now)
-	hops := ne.FanOut()
+	hops = ne.FanOut()
 	for ne.Seen(me.VM, member.Leaving) < len(ne.IDs) {
 		ne.Round()
-		hops++
+		rounds++
 	}
-	return hops
+	return hops, rounds
 }
 
 // mistakes counts the nodes that were taken for gone though they lived, with one
--- a/internal/state/member/gossip.go
+++ b/internal/state/member/gossip.go
@@ -239,6 +239,12 @@
 	if in != me {
 		gs.sends[gs.self] = 0 // The sender has an old account of this node.
 	}
+	if in.Incarnation > me.Incarnation && in.VMIncarnation() == me.VMIncarnation() {
+		// An earlier process on this VM had a larger number, by its clock or because
+		// it rose from being buried. A later life of the VM id is another node.
+		gs.UpdateSelf(func(cur *Member) { cur.Incarnation = in.Incarnation + 1; cur.State = Alive })
+		return
+	}
 	if in.Incarnation != me.Incarnation {
 		return
 	}
