--- a/cmd/measure/admit.go
+++ b/cmd/measure/admit.go
@@ -42,7 +42,7 @@
 	refused       int
 }
 
-func (ac *admitCmd) run(context.Context) error {
+func (ac *admitCmd) run(ctx context.Context) error {
 	fmt.Println("| offered | queue | good/s | of capacity | refused at once | told to come back after | good of the burst row (weight 1) | of the steady row (weight 3) |")
 	fmt.Println("|---|---|---|---|---|---|---|---|")
 	capacity := float64(admitPlaces) / admitMean.Seconds()
@@ -57,7 +57,7 @@
 				100*float64(re.good)/admitFor.Seconds()/capacity, re.refused, (re.asked / time.Duration(max(1, re.refused))).Milliseconds(), re.shares["burst"], re.shares["steady"])
 		}
 	}
-	return nil
+	return ctx.Err()
 }
 
 // ending is a request in progress.
--- a/cmd/measure/drain.go
+++ b/cmd/measure/drain.go
@@ -40,7 +40,7 @@
 	drainPerToken = 128 << 10
 )
 
-func (dc *drainCmd) run(context.Context) error {
+func (dc *drainCmd) run(ctx context.Context) error {
 	fmt.Println("| reclaim | requests | restart all | restart what does not finish | plan | of restart all | optimum |")
 	fmt.Println("|---|---|---|---|---|---|---|")
 	for _, rc := range []reclaimCase{
@@ -52,7 +52,7 @@
 	} {
 		dc.one(&rc)
 	}
-	return nil
+	return ctx.Err()
 }
 
 func (dc *drainCmd) one(rc *reclaimCase) {
--- a/cmd/measure/gossip.go
+++ b/cmd/measure/gossip.go
@@ -27,13 +27,13 @@
 
 const gossipServers = 600
 
-func (gc *gossipCmd) run(context.Context) error {
+func (gc *gossipCmd) run(ctx context.Context) error {
 	fmt.Println("| nodes | servers | quiet: bytes/s a node | busy: bytes/s a node | CPU a node, of a core | view, KB | a dead node is gone after | a reclaim reaches all in | gone by mistake in 5 min at 5% loss and 2 s pauses |")
 	fmt.Println("|---|---|---|---|---|---|---|---|---|")
 	for _, nodes := range []int{8, 90, 360} {
 		gc.one(nodes)
 	}
-	return nil
+	return ctx.Err()
 }
 
 func (gc *gossipCmd) one(nodes int) {
--- a/cmd/measure/limits.go
+++ b/cmd/measure/limits.go
@@ -28,7 +28,7 @@
 	share func(node, nodes int) float64
 }
 
-func (lc *limitsCmd) run(context.Context) error {
+func (lc *limitsCmd) run(ctx context.Context) error {
 	fmt.Println("| nodes | arrivals | static share | with loans | greatest sum of allowance, of the limit | messages a second a node |")
 	fmt.Println("|---|---|---|---|---|---|")
 	for _, nodes := range []int{8, 90, 360} {
@@ -47,7 +47,7 @@
 			fmt.Printf("| %d | %s | %.1f%% | %.1f%% | %.4f | %.2f |\n", nodes, ar.name, static*100, loans*100, sum, messages)
 		}
 	}
-	return nil
+	return ctx.Err()
 }
 
 const (
--- a/cmd/measure/retry.go
+++ b/cmd/measure/retry.go
@@ -36,7 +36,7 @@
 	retryMost    = 3
 )
 
-func (rc *retryCmd) run(context.Context) error {
+func (rc *retryCmd) run(ctx context.Context) error {
 	fmt.Println("| servers fail | retries | attempts a request | requests that failed | lost to a dead server, each |")
 	fmt.Println("|---|---|---|---|---|")
 	for _, ou := range []outage{{"1 of 9 is dead", 1, 0}, {"3 of 9 are dead", 3, 0}, {"every tenth request", 0, 0.1}, {"all are dead", retryServers, 0}} {
@@ -49,7 +49,7 @@
 			fmt.Printf("| %s | %s | %.3f | %.2f%% | %.0f |\n", ou.name, name, attempts, failed*100, lost)
 		}
 	}
-	return nil
+	return ctx.Err()
 }
 
 func (rc *retryCmd) play(ou outage, budget bool) (attempts, failed, lost float64) {
--- /dev/null
+++ b/internal/edge/call/call_test.go
@@ -0,0 +1,122 @@
+package call_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"lycheepick/internal/edge/call"
+	"lycheepick/internal/rule/fault"
+)
+
+func TestCall(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "call")
+}
+
+// script answers each connection with one text per request, and closes after the last.
+func script(answers ...string) (addr string, conns *int) {
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(ls.Close)
+	count := 0
+	go func() {
+		for {
+			cn, err := ls.Accept()
+			if err != nil {
+				return
+			}
+			count++
+			rd := bufio.NewReader(cn)
+			for _, text := range answers {
+				var req fasthttp.Request
+				if req.Read(rd) != nil {
+					break
+				}
+				_, _ = io.WriteString(cn, text)
+			}
+			_ = cn.Close()
+		}
+	}()
+	return ls.Addr().String(), &count
+}
+
+func do(ctx context.Context, ca *call.Caller, addr string) (string, error) {
+	req := fasthttp.AcquireRequest()
+	req.SetRequestURI("http://" + addr + "/")
+	an, err := ca.Do(ctx, addr, req, false)
+	if err != nil {
+		return "", err
+	}
+	defer an.Close()
+	raw, err := io.ReadAll(an.Body)
+	return string(raw), err
+}
+
+const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+
+var _ = ginkgo.Describe("A call", func() {
+	ctx := context.Background()
+
+	ginkgo.DescribeTable("tells a whole body from one that broke off",
+		func(answer, want string, whole bool) {
+			addr, _ := script(answer)
+			have, err := do(ctx, call.NewCaller(), addr)
+			gomega.Expect(have).To(gomega.Equal(want))
+			gomega.Expect(err == nil).To(gomega.Equal(whole))
+		},
+		ginkgo.Entry("with a length", head+"Content-Length: 5\r\n\r\nhello", "hello", true),
+		ginkgo.Entry("shorter than its length", head+"Content-Length: 9\r\n\r\nhello", "hello", false),
+		ginkgo.Entry("in chunks", head+"Transfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n", "hello", true),
+		ginkgo.Entry("without the last chunk", head+"Transfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n", "hello", false),
+		ginkgo.Entry("cut within a chunk", head+"Transfer-Encoding: chunked\r\n\r\n9\r\nhel", "hel", false),
+		ginkgo.Entry("empty", head+"Content-Length: 0\r\n\r\n", "", true),
+	)
+
+	ginkgo.It("uses a connection again after a whole body, and only then", func() {
+		ca := call.NewCaller()
+		addr, conns := script(head+"Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", head+"Content-Length: 2\r\n\r\nho", head+"Content-Length: 9\r\n\r\nx")
+		for _, want := range []string{"hi", "ho"} {
+			gomega.Expect(do(ctx, ca, addr)).To(gomega.Equal(want))
+		}
+		gomega.Expect(*conns).To(gomega.Equal(1))
+		_, err := do(ctx, ca, addr)
+		gomega.Expect(err).To(gomega.HaveOccurred())
+		gomega.Expect(do(ctx, ca, addr)).To(gomega.Equal("hi"))
+		gomega.Expect(*conns).To(gomega.Equal(2))
+	})
+
+	ginkgo.It("knows that nothing was sent if no one listens", func() {
+		ls, err := net.Listen("tcp", "127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		addr := ls.Addr().String()
+		gomega.Expect(ls.Close()).To(gomega.Succeed())
+		_, err = do(ctx, call.NewCaller(), addr)
+		gomega.Expect(fault.Is(err, call.KindNotSent)).To(gomega.BeTrue())
+	})
+
+	ginkgo.It("does not claim that if the server closed without an answer", func() {
+		addr, _ := script("")
+		_, err := do(ctx, call.NewCaller(), addr)
+		gomega.Expect(fault.Is(err, call.KindBroken)).To(gomega.BeTrue())
+	})
+
+	ginkgo.It("ends with its context", func() {
+		addr, _ := script(head+"Content-Length: 9\r\n\r\nhel", "")
+		ctx, cancel := context.WithCancel(ctx)
+		req := fasthttp.AcquireRequest()
+		req.SetRequestURI("http://" + addr + "/")
+		an, err := call.NewCaller().Do(ctx, addr, req, true)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer an.Close()
+		cancel()
+		_, err = io.ReadAll(an.Body)
+		gomega.Expect(err).To(gomega.HaveOccurred())
+	})
+})
--- a/internal/edge/engine/engine.go
+++ b/internal/edge/engine/engine.go
@@ -162,6 +162,9 @@
 	if err := json.Unmarshal(body, &fields); err != nil {
 		return nil, err
 	}
+	if fields == nil {
+		return nil, fault.New("engine.withExtras", KindInvalid, "the body is null, want an object")
+	}
 	fields["stream"] = json.RawMessage("true")
 	raw, err := json.Marshal(ex)
 	if err != nil {
--- a/internal/edge/serve/stream.go
+++ b/internal/edge/serve/stream.go
@@ -197,7 +197,9 @@
 	}
 }
 
-func (ew *eventWriter) comment() { ew.raw(":\n\n") }
+// comment writes a line that clients skip. An empty line after it would be an event
+// without data to some client libraries.
+func (ew *eventWriter) comment() { ew.raw(":\n") }
 
 func (ew *eventWriter) data(val any) {
 	raw, err := json.Marshal(val)
--- a/internal/proof/real_test.go
+++ b/internal/proof/real_test.go
@@ -31,6 +31,7 @@
 //	expect ID FIELD VALUE                   check status, outcome, code, whole or a body
 //	hangup ID                               break the connection of a request off
 //	tokens ID NUM                           wait until a stream has so many tokens
+//	openai NODE                             run the official OpenAI client library
 //	until NODE METRIC OP VALUE              wait for a metric
 //	ended ID...                             wait until requests have ended
 //	settled NODE BODY KEY                   ask again until a key's answer is replayed
@@ -91,6 +92,7 @@
 		return nil
 	}),
 	"expect": withProcs((*procs).expect),
+	"openai": withProcs((*procs).openai),
 	"tokens": withProcs((*procs).tokens),
 	"runs":   withProcs((*procs).runs),
 	"ended": withProcs(func(pr *procs, args []string) error {
--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -77,22 +77,22 @@
 }
 
 // append adds a record. known tells whether the writer has an answer.
-func (wo *world) append(stream string, val any) (off units.Offset, known, stands bool) {
+func (wo *world) append(stream string, val any) (known, stands bool) {
 	if wo.down {
-		return 0, true, false
+		return true, false
 	}
 	if wo.refuse > 0 {
 		wo.refuse--
-		return 0, false, false
+		return false, false
 	}
 	raw, _ := json.Marshal(val)
 	lo := wo.logs[stream]
 	lo.records = append(lo.records, raw)
 	if wo.lose > 0 {
 		wo.lose--
-		return 0, false, true
+		return false, true
 	}
-	return lo.next() - 1, true, true
+	return true, true
 }
 
 // seconds runs the fleet.
@@ -212,14 +212,14 @@
 		wo.end(ca)
 		return
 	}
-	_, known, _ := wo.append("intent", intent.Batch{Entries: []intent.Entry{{Op: intent.OpIntent, Key: ca.key, Intent: ca.id, Fingerprint: "f"}}})
+	known, stands := wo.append("intent", intent.Batch{Entries: []intent.Entry{{Op: intent.OpIntent, Key: ca.key, Intent: ca.id, Fingerprint: "f"}}})
 	if !known {
 		// Whether the intent stands is not known: it is given up, for good.
 		wo.end(ca)
 		ca.pending = true
 		return
 	}
-	if wo.down {
+	if !stands {
 		wo.end(ca)
 		return
 	}
