Send a steward eight keys of a prefix at the most, and read cache events

A question carried up to 32 keys, 256 bytes, which at the design size (43 questions a second out and in) is 22 KB/s for the keys alone; the bound for all control is 24 KB/s. Now: keys a power of two of blocks apart, 64 bytes. Stewards read the engines' cache events, so what the thinned keys of other nodes leave out is known one report later.

--- a/internal/edge/engine/engine.go
+++ b/internal/edge/engine/engine.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -307,6 +308,14 @@
 	Held   bool            `json:"held"`
 }
 
+// CacheEvents returns the cache events after a sequence number. Engines keep only the
+// latest events, so that numbers can be missing.
+func (cl *Client) CacheEvents(ctx context.Context, addr string, after int64) ([]CacheEvent, error) {
+	var out []CacheEvent
+	err := cl.exchange(ctx, addr, fasthttp.MethodGet, "/engine/cache?after="+strconv.FormatInt(after, 10), nil, &out)
+	return out, err
+}
+
 // Order tells an engine to load a model or change its role.
 type Order struct {
 	// Fencing grows with each holder of the right to give orders.
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -76,6 +76,8 @@
 	health retry.Health
 	track  *route.Track
 	cache  *route.Cache
+	// cacheSeq is the number of the last cache event taken over.
+	cacheSeq int64
 }
 
 // New returns an empty fleet.
@@ -130,6 +132,35 @@
 	}
 }
 
+// CacheSeen returns the number of the last cache event taken over from a server.
+func (fl *Fleet) CacheSeen(id units.VMID) int64 {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if se := fl.servers[id]; se != nil {
+		return se.cacheSeq
+	}
+	return 0
+}
+
+// CacheEvents takes over cache events of a server. Missing numbers do no harm: what they
+// told shows up as a wrong estimate.
+func (fl *Fleet) CacheEvents(id units.VMID, list []engine.CacheEvent) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	se := fl.servers[id]
+	if se == nil {
+		return
+	}
+	for _, ev := range list {
+		if ev.Held {
+			se.cache.Hold([]units.PrefixKey{ev.Prefix})
+		} else {
+			se.cache.Drop(ev.Prefix)
+		}
+		se.cacheSeq = max(se.cacheSeq, ev.Seq)
+	}
+}
+
 // Refresh publishes the load reports that came since the last snapshot. A node calls
 // it several times a second, so that one rebuild serves many reports.
 func (fl *Fleet) Refresh() {
--- a/internal/fake/stand/engine.go
+++ b/internal/fake/stand/engine.go
@@ -43,6 +43,8 @@
 	queued   int
 	queue    units.Tokens
 	held     map[units.PrefixKey]bool
+	events   []engine.CacheEvent
+	eventSeq int64
 	imported map[string]units.Tokens
 	starts   map[units.RequestID]int
 	slots    chan struct{}
@@ -83,6 +85,7 @@
 	app.Post("/v1/chat/completions", en.generate)
 	app.Post("/v1/completions", en.generate)
 	app.Get("/engine/load", en.load)
+	app.Get("/engine/cache", en.cacheEvents)
 	app.Post("/engine/cancel", en.cancel)
 	app.Get("/engine/kv/export/:request", en.export)
 	app.Post("/engine/kv/import", en.importKV)
@@ -266,15 +269,44 @@
 	defer en.mu.Unlock()
 	en.queue -= fresh
 	en.queued--
-	for _, key := range keys {
-		en.held[key] = true
-	}
+	en.hold(keys)
 	if jo.again {
 		jo.recomputed = fresh
 	}
 	return ok
 }
 
+// eventsKept bounds the cache events that can still be asked for.
+const eventsKept = 1000
+
+// hold adds keys to the cache and notes the events. The caller holds the lock.
+func (en *Engine) hold(keys []units.PrefixKey) {
+	for _, key := range keys {
+		if en.held[key] {
+			continue
+		}
+		en.held[key] = true
+		en.eventSeq++
+		en.events = append(en.events, engine.CacheEvent{Seq: en.eventSeq, Prefix: key, Held: true})
+	}
+	if over := len(en.events) - eventsKept; over > 0 {
+		en.events = en.events[over:]
+	}
+}
+
+func (en *Engine) cacheEvents(ct *fiber.Ctx) error {
+	after := int64(ct.QueryInt("after"))
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	out := []engine.CacheEvent{}
+	for _, ev := range en.events {
+		if ev.Seq > after {
+			out = append(out, ev)
+		}
+	}
+	return ct.JSON(out)
+}
+
 func (en *Engine) cached(keys []units.PrefixKey) units.Tokens {
 	for num := len(keys); num > 0; num-- {
 		if en.held[keys[num-1]] {
@@ -351,7 +383,7 @@
 	return ct.JSON(engine.Report{
 		Target: en.cfg.Model, Running: len(en.running) - en.queued, Slots: en.cfg.Slots, Queued: en.queued,
 		QueuedTokens: en.queue, PrefillRate: en.cfg.PrefillRate * units.TokensPerSecond(speed),
-		Step: units.Duration(en.scaled(en.cfg.Step)), Draining: en.draining,
+		Step: units.Duration(en.scaled(en.cfg.Step)), Draining: en.draining, CacheSeq: en.eventSeq,
 	})
 }
 
--- a/internal/node/daemon/load.go
+++ b/internal/node/daemon/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
 
 	"lycheepick/internal/edge/plain"
 	"lycheepick/internal/rule/fault"
@@ -78,6 +79,23 @@
 		da.serverDraining(me.VM)
 	}
 	da.fleet.Reported(me.VM, &rep, asked)
+	if da.isSteward(me.VM) {
+		da.readCacheEvents(ctx, me, rep.CacheSeq)
+	}
+}
+
+// readCacheEvents takes over what a server says of its cache. Only its steward does.
+func (da *Daemon) readCacheEvents(ctx context.Context, me *member.Member, newest int64) {
+	seen := da.fleet.CacheSeen(me.VM)
+	if newest <= seen {
+		return
+	}
+	list, err := da.flow.Engine.CacheEvents(ctx, me.Address, seen)
+	if err != nil {
+		da.log.Debug("cache_events_unreadable", zap.String("server", string(me.VM)), zap.Error(err))
+		return
+	}
+	da.fleet.CacheEvents(me.VM, list)
 }
 
 func (da *Daemon) probePlain(ctx context.Context, me *member.Member) {
--- a/internal/node/daemon/steward.go
+++ b/internal/node/daemon/steward.go
@@ -32,12 +32,14 @@
 	}
 	fresh := as.PromptTokens
 	if isSelf(da, st) {
-		return da.reserve(re.Instance, as.Prefix, fresh)
+		return da.reserve(re.Instance, route.Thin(as.Prefix), fresh)
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTime)
 	defer cancel()
+	marks := route.Thin(as.Prefix)
 	rq := &wire.ReserveRequest{
-		Replica: string(re.VM), Incarnation: uint64(re.Incarnation), Tokens: int64(fresh), Prefix: prefixToWire(as.Prefix),
+		Replica: string(re.VM), Incarnation: uint64(re.Incarnation), Tokens: int64(fresh),
+		Stride: uint32(marks.Stride), Prefix: marksToWire(marks.Keys),
 	}
 	out, err := da.pool.Peer(ctx, st.Address).Reserve(ctx, rq)
 	if err != nil || !out.GetKnown() {
@@ -47,7 +49,7 @@
 }
 
 // reserve answers for a replica that this node is the steward of, or takes itself for.
-func (da *Daemon) reserve(id units.Instance, prefix []units.PrefixKey, tokens units.Tokens) (route.State, bool) {
+func (da *Daemon) reserve(id units.Instance, prefix route.Marks, tokens units.Tokens) (route.State, bool) {
 	re := da.fleet.Snapshot().Replica(id.VM)
 	if re == nil || re.Instance != id {
 		return route.State{}, false
@@ -55,16 +57,16 @@
 	now := time.Now()
 	st := route.Now(now, re, prefix)
 	st.Ticket = re.Track.Dispatched(now, max(0, tokens-st.Cached))
-	re.Cache.Hold(prefix)
+	re.Cache.Hold(prefix.Keys)
 	return st, true
 }
 
 // Reserve answers a peer that asks about a replica.
 func (ps *peerServer) Reserve(_ context.Context, in *wire.ReserveRequest) (*wire.ReserveReply, error) {
 	id := units.Instance{VM: units.VMID(in.GetReplica()), Incarnation: units.Incarnation(in.GetIncarnation())}
-	prefix := make([]units.PrefixKey, len(in.GetPrefix()))
+	prefix := route.Marks{Stride: int(in.GetStride()), Keys: make([]units.PrefixKey, len(in.GetPrefix()))}
 	for idx, key := range in.GetPrefix() {
-		prefix[idx] = units.PrefixKey(key)
+		prefix.Keys[idx] = units.PrefixKey(key)
 	}
 	st, ok := ps.da.reserve(id, prefix, units.Tokens(in.GetTokens()))
 	if !ok {
@@ -73,14 +75,9 @@
 	return stateToWire(&st), nil
 }
 
-// prefixBlocks bounds the keys sent with a question. A longer prefix is thinned out:
-// its last keys tell most.
-const prefixBlocks = 32
-
-func prefixToWire(prefix []units.PrefixKey) []uint64 {
-	prefix = prefix[:min(len(prefix), prefixBlocks)]
-	out := make([]uint64, len(prefix))
-	for idx, key := range prefix {
+func marksToWire(keys []units.PrefixKey) []uint64 {
+	out := make([]uint64, len(keys))
+	for idx, key := range keys {
 		out[idx] = uint64(key)
 	}
 	return out
--- a/internal/rule/route/route_test.go
+++ b/internal/rule/route/route_test.go
@@ -110,6 +110,21 @@
 	})
 }
 
+func TestMarksTellTheCachedPart(t *testing.T) {
+	gm := gomega.NewWithT(t)
+	re := replica("r", 1, 0)
+	long := route.Keys(make([]byte, 60*64*4))
+	marks := route.Thin(long)
+	gm.Expect(marks.Stride).To(gomega.Equal(8))
+	gm.Expect(marks.Keys).To(gomega.HaveLen(7))
+	gm.Expect(route.Now(now, re, marks).Cached).To(gomega.BeZero())
+	re.Cache.Hold(long[:30])
+	gm.Expect(route.Now(now, re, marks).Cached).To(gomega.Equal(24*route.BlockTokens), "the last mark at or before 30 blocks")
+	st := route.Now(now, re, route.Thin(long[:5]))
+	gm.Expect(st.Cached).To(gomega.Equal(5 * route.BlockTokens))
+	gm.Expect(re.Told(&st, long).Cache.Match(long)).To(gomega.Equal(5 * route.BlockTokens))
+}
+
 func TestOwnDispatchesCorrectAnOldReport(t *testing.T) {
 	gm := gomega.NewWithT(t)
 	re := replica("r", 1, 0)
--- a/internal/rule/route/state.go
+++ b/internal/rule/route/state.go
@@ -18,10 +18,33 @@
 	Ticket Ticket
 }
 
+// Marks are some keys of a prefix, each Stride blocks apart, which is a power of two so
+// that the marks of prefixes of different lengths coincide where they can.
+type Marks struct {
+	Stride int
+	Keys   []units.PrefixKey
+}
+
+// mostMarks bounds the keys that a question to a steward carries.
+const mostMarks = 8
+
+// Thin returns the marks of a prefix.
+func Thin(prefix []units.PrefixKey) Marks {
+	ma := Marks{Stride: 1}
+	for len(prefix)/ma.Stride > mostMarks {
+		ma.Stride *= 2
+	}
+	for at := ma.Stride; at <= len(prefix); at += ma.Stride {
+		ma.Keys = append(ma.Keys, prefix[at-1])
+	}
+	return ma
+}
+
 // Now returns the present state of a replica for a prefix.
-func Now(now time.Time, re *Replica, prefix []units.PrefixKey) State {
+func Now(now time.Time, re *Replica, prefix Marks) State {
 	count, tokens := re.Track.Since(re.Load.At)
-	st := State{Load: re.Load, Cached: re.Cache.Match(prefix), Usable: re.Usable}
+	held := re.Cache.Match(prefix.Keys) * units.Tokens(prefix.Stride)
+	st := State{Load: re.Load, Cached: held, Usable: re.Usable}
 	drained := units.Tokens(now.Sub(re.Load.At).Seconds() * float64(re.Load.PrefillRate))
 	st.Load.QueuedTokens = max(0, re.Load.QueuedTokens+tokens-drained)
 	st.Load.Queued += count
--- a/internal/state/answer/answer_test.go
+++ b/internal/state/answer/answer_test.go
@@ -143,6 +143,9 @@
 			}
 			switch ma.Token(se.att, idx) {
 			case answer.Deliver:
+				if se != servers[len(servers)-1] {
+					return "a token of a superseded attempt was delivered"
+				}
 				got = append(got, idx)
 			case answer.Gap:
 				ma.Fail(se.att, answer.MayHaveRun)
--- a/internal/state/table/fold_test.go
+++ b/internal/state/table/fold_test.go
@@ -182,6 +182,32 @@
 	gm.Expect(version(fresh)).To(gomega.Equal(units.Version(2)))
 }
 
+// A node that missed records does not know whether its version is still in force, and
+// must not make a peer believe so.
+func TestNodeThatMissedRecordsDoesNotVouch(t *testing.T) {
+	gm := gomega.NewWithT(t)
+	st := &stream{}
+	st.append(table.NewRecord(weighted(1), 0, "ann", "", "p1"))
+	cut, fresh, full := table.NewFold(), table.NewFold(), table.NewFold()
+	st.read(cut, 1000)
+	st.append(table.NewRecord(weighted(2), 1, "ann", "", "p2"))
+	st.read(full, 1000)
+	st.expire(2)
+	st.read(cut, 1000)
+	fresh.Adopt(cut.InForce(), cut.FoldedTo())
+	st.append(table.NewRecord(weighted(3), 2, "ann", "", "p3"))
+	st.append(table.NewRecord(weighted(4), 1, "ben", "", "p4"))
+	st.read(fresh, 1000)
+	st.read(full, 1000)
+	gm.Expect(version(full)).To(gomega.Equal(units.Version(3)))
+	gm.Expect(version(fresh)).To(gomega.Equal(units.Version(1)), "it waits for a restatement")
+	rec, ok := full.Restate("node", "r")
+	gm.Expect(ok).To(gomega.BeTrue())
+	st.append(rec)
+	st.read(fresh, 1000)
+	gm.Expect(version(fresh)).To(gomega.Equal(units.Version(3)))
+}
+
 func TestRestateDue(t *testing.T) {
 	gm := gomega.NewWithT(t)
 	at := time.Unix(0, 0)
--- /dev/null
+++ b/tools/measure.sh
@@ -0,0 +1,31 @@
+#!/usr/bin/env bash
+# Runs all measurements and writes docs/MEASURED.md, with commands, seeds and commit.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -o bin ./cmd/...
+out=$(mktemp)
+part() { # TITLE COMMAND...
+  local title=$1; shift
+  printf '\n## %s\n\n`%s`\n\n' "$title" "$*" >>"$out"
+  echo "measuring: $title" >&2
+  "$@" >>"$out"
+}
+cat >"$out" <<TEXT
+# Measured figures
+
+Written by \`make measure\` on $(date -u +%F), commit $(git rev-parse --short HEAD), on one machine of $(nproc) cores with
+$(awk '/MemTotal/ {printf "%.0f", $2 / 1048576}' /proc/meminfo) GB, $(go version | awk '{print $3}'). All processes run on that machine, over loopback. The seed is 1 where
+none is named. Times of the decisions alone are those of a virtual clock.
+TEXT
+part "What a node adds to a request" bash tools/path.sh
+part "Idempotency keys" bin/measure keys
+part "Routing at the sizes of today" bin/measure route
+part "Routing at the design size" bin/measure route --size design --for 10s
+part "Admission under overload" bin/measure admit
+part "Limits" bin/measure limits
+part "Retries" bin/measure retry
+part "Reclaim" bin/measure drain
+part "Membership" bin/measure gossip
+cat docs/measured.notes.md >>"$out" 2>/dev/null || true
+mv "$out" docs/MEASURED.md
+chmod 644 docs/MEASURED.md
