--- a/cmd/lycheepick/audit.go
+++ b/cmd/lycheepick/audit.go
@@ -24,7 +24,7 @@
 	Since time.Duration `arg:"--since"`
 }
 
-func (*auditCmd) usage() string { return auditUsage }
+func (*auditCmd) Usage() string { return auditUsage }
 
 // auditLine is one line of the trail.
 type auditLine struct {
@@ -32,7 +32,7 @@
 	text string
 }
 
-func (au *auditCmd) run(ctx context.Context, out io.Writer) error {
+func (au *auditCmd) Run(ctx context.Context, out io.Writer) error {
 	log, err := au.log()
 	if err != nil {
 		return err
--- a/cmd/lycheepick/main.go
+++ b/cmd/lycheepick/main.go
@@ -2,20 +2,12 @@
 package main
 
 import (
-	"context"
-	"fmt"
-	"io"
-	"os"
-	"os/signal"
-	"syscall"
-
-	"github.com/alexflint/go-arg"
-	"github.com/pkg/errors"
-
 	"lycheepick/internal/node/admin"
+	"lycheepick/internal/node/cline"
 	"lycheepick/internal/node/config"
 	"lycheepick/internal/peer/mesh"
 	"lycheepick/internal/plat/logsvc"
+	"lycheepick/internal/rule/fault"
 )
 
 const usage = `lycheepick is the operators' command line of lycheepick.
@@ -41,12 +33,8 @@
 exit status: 0 done, 1 refused, 2 bad usage, 3 platform or node unreachable
 `
 
-// Exit statuses.
-const (
-	exitRefused     = 1
-	exitUsage       = 2
-	exitUnreachable = 3
-)
+// exitUnreachable is the exit status if the platform or a node can't be reached.
+const exitUnreachable = 3
 
 type args struct {
 	Table   *tableCmd   `arg:"subcommand:table"`
@@ -63,73 +51,36 @@
 	SecretFile string `arg:"--secret-file,env:LYCHEEPICK_SECRET_FILE"`
 }
 
-// errUsage marks options that do not go together.
-type errUsage struct{ error }
+func usageError(op, format string, args ...any) error {
+	return fault.New(op, cline.KindUsage, format, args...)
+}
 
 func (pl *platform) log() (logsvc.Log, error) {
 	if pl.Log == "" {
-		return nil, errUsage{errors.New("--log is missing")}
+		return nil, usageError("lycheepick.log", "--log is missing")
 	}
 	return logsvc.New(pl.Log), nil
 }
 
 func (pl *platform) pool() (*mesh.Pool, error) {
 	if pl.Node == "" || pl.SecretFile == "" {
-		return nil, errUsage{errors.New("--node and --secret-file are needed")}
+		return nil, usageError("lycheepick.pool", "--node and --secret-file are needed")
 	}
 	secret, err := (&config.Secret{File: pl.SecretFile}).Read()
 	if err != nil {
-		return nil, errUsage{err}
+		return nil, usageError("lycheepick.pool", "%v", err)
 	}
 	return mesh.NewPool(secret), nil
 }
 
-// command is one subcommand.
-type command interface {
-	usage() string
-	run(ctx context.Context, out io.Writer) error
-}
-
-func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
-
-func run(argv []string, out, problems io.Writer) int {
-	var ar args
-	ps, err := arg.NewParser(arg.Config{Program: "lycheepick"}, &ar)
-	if err == nil {
-		err = ps.Parse(argv)
-	}
-	cmd, _ := ps.Subcommand().(command)
-	switch {
-	case errors.Is(err, arg.ErrHelp) && cmd != nil:
-		_, _ = fmt.Fprint(out, cmd.usage())
-		return 0
-	case errors.Is(err, arg.ErrHelp):
-		_, _ = fmt.Fprint(out, usage)
-		return 0
-	case err != nil:
-		_, _ = fmt.Fprintln(problems, "lycheepick:", err)
-		return exitUsage
-	case cmd == nil:
-		_, _ = fmt.Fprint(problems, usage)
-		return exitUsage
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := cmd.run(ctx, out); err != nil {
-		_, _ = fmt.Fprintln(problems, "lycheepick:", err)
-		return exitOf(err)
-	}
-	return 0
+func main() {
+	pr := cline.Program{Name: "lycheepick", Usage: usage, Exit: exitOf}
+	pr.Main(&args{})
 }
 
 func exitOf(err error) int {
-	var ue errUsage
-	var ae *admin.Error
-	switch {
-	case errors.As(err, &ue):
-		return exitUsage
-	case errors.As(err, &ae) && (ae.Kind == admin.KindUnreachable || ae.Kind == admin.KindUndecided):
+	if fault.Is(err, admin.KindUnreachable) || fault.Is(err, admin.KindUndecided) {
 		return exitUnreachable
 	}
-	return exitRefused
+	return cline.ExitFailed
 }
--- a/cmd/lycheepick/version.go
+++ b/cmd/lycheepick/version.go
@@ -15,9 +15,9 @@
 
 type versionCmd struct{}
 
-func (*versionCmd) usage() string { return versionUsage }
+func (*versionCmd) Usage() string { return versionUsage }
 
-func (*versionCmd) run(_ context.Context, out io.Writer) error {
+func (*versionCmd) Run(_ context.Context, out io.Writer) error {
 	_, _ = fmt.Fprintln(out, "lycheepick "+daemon.Version)
 	return nil
 }
--- a/cmd/measure/gossip.go
+++ b/cmd/measure/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"time"
 
 	"lycheepick/internal/bench/spread"
@@ -20,23 +21,23 @@
 	Seed uint64 `arg:"--seed" default:"1"`
 }
 
-func (*gossipCmd) usage() string { return gossipUsage }
+func (*gossipCmd) Usage() string { return gossipUsage }
 
 // callBytes is what a call costs beyond its message: the headers of drpc, TCP and IP.
 const callBytes = 150
 
 const gossipServers = 600
 
-func (gc *gossipCmd) run(ctx context.Context) error {
-	fmt.Println("| nodes | servers | quiet: bytes/s a node | busy: bytes/s a node | CPU a node, of a core | view, KB | a dead node is gone after | a reclaim reaches all in | gone by mistake in 5 min at 5% loss and 2 s pauses |")
-	fmt.Println("|---|---|---|---|---|---|---|---|---|")
+func (gc *gossipCmd) Run(ctx context.Context, out io.Writer) error {
+	_, _ = fmt.Fprintln(out, "| nodes | servers | quiet: bytes/s a node | busy: bytes/s a node | CPU a node, of a core | view, KB | a dead node is gone after | a reclaim reaches all in | gone by mistake in 5 min at 5% loss and 2 s pauses |")
+	_, _ = fmt.Fprintln(out, "|---|---|---|---|---|---|---|---|---|")
 	for _, nodes := range []int{8, 90, 360} {
-		gc.one(nodes)
+		gc.one(out, nodes)
 	}
 	return ctx.Err()
 }
 
-func (gc *gossipCmd) one(nodes int) {
+func (gc *gossipCmd) one(out io.Writer, nodes int) {
 	ne := spread.New(nodes, gc.Seed)
 	for num := range gossipServers {
 		ne.Nodes[ne.IDs[num%nodes]].Observe(server(num), ne.Now)
@@ -64,7 +65,7 @@
 	dead := detect(ne)
 	mistakes := gc.mistakes(nodes)
 	view := float64(ne.Nodes[ne.IDs[0]].View().Len()) * memberBytes / 1024
-	fmt.Printf("| %d | %d | %.0f | %.0f | %.4f%% | %.0f | %s | %d hops, %d periods | %d |\n", nodes, gossipServers, quiet, busy, cpu*100, view, dead, hops, rounds, mistakes)
+	_, _ = fmt.Fprintf(out, "| %d | %d | %.0f | %.0f | %.4f%% | %.0f | %s | %d hops, %d periods | %d |\n", nodes, gossipServers, quiet, busy, cpu*100, view, dead, hops, rounds, mistakes)
 }
 
 // memberBytes is the size of a member in memory with its strings and its place in a map.
--- a/cmd/measure/path.go
+++ b/cmd/measure/path.go
@@ -37,11 +37,11 @@
 	Rate   float64       `arg:"--rate"`
 }
 
-func (*pathCmd) usage() string { return pathUsage }
+func (*pathCmd) Usage() string { return pathUsage }
 
-func (pc *pathCmd) run(ctx context.Context) error {
-	fmt.Println("| callers | way | requests/s | p50 | p95 | p99 | allocations a request in the node |")
-	fmt.Println("|---|---|---|---|---|---|---|")
+func (pc *pathCmd) Run(ctx context.Context, out io.Writer) error {
+	_, _ = fmt.Fprintln(out, "| callers | way | requests/s | p50 | p95 | p99 | allocations a request in the node |")
+	_, _ = fmt.Fprintln(out, "|---|---|---|---|---|---|---|")
 	reached := 0.0
 	for _, callers := range []int{1, 64} {
 		for _, way := range []string{"engine", "node"} {
@@ -49,7 +49,7 @@
 			if err != nil {
 				return err
 			}
-			printPath(fmt.Sprint(callers), way, rate, hist, allocs)
+			printPath(out, fmt.Sprint(callers), way, rate, hist, allocs)
 			reached = rate
 		}
 	}
@@ -62,14 +62,14 @@
 		if err != nil {
 			return err
 		}
-		printPath(fmt.Sprintf("open, %.0f/s", rate), way, rate, hist, allocs)
+		printPath(out, fmt.Sprintf("open, %.0f/s", rate), way, rate, hist, allocs)
 	}
 	return nil
 }
 
-func printPath(callers, way string, rate float64, hist *hdrhistogram.Histogram, allocs float64) {
+func printPath(out io.Writer, callers, way string, rate float64, hist *hdrhistogram.Histogram, allocs float64) {
 	us := func(qu float64) float64 { return float64(hist.ValueAtQuantile(qu)) / 1000 }
-	fmt.Printf("| %s | %s | %.0f | %.2f ms | %.2f ms | %.2f ms | %.0f |\n", callers, way, rate, us(50), us(95), us(99), allocs)
+	_, _ = fmt.Fprintf(out, "| %s | %s | %.0f | %.2f ms | %.2f ms | %.2f ms | %.0f |\n", callers, way, rate, us(50), us(95), us(99), allocs)
 }
 
 // prober sends one kind of request one way.
--- a/cmd/standin/balancer.go
+++ b/cmd/standin/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 
 	"lycheepick/internal/fake/stand"
 )
@@ -21,8 +22,8 @@
 	Nodes  []string `arg:"positional,required"`
 }
 
-func (*balancerCmd) usage() string { return balancerUsage }
+func (*balancerCmd) Usage() string { return balancerUsage }
 
-func (ba *balancerCmd) run(ctx context.Context) error {
+func (ba *balancerCmd) Run(ctx context.Context, _ io.Writer) error {
 	return stand.NewBalancer(ba.Nodes).Serve(ctx, ba.Listen)
 }
--- a/cmd/standin/cloud.go
+++ b/cmd/standin/cloud.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"lycheepick/internal/fake/stand"
@@ -23,8 +24,8 @@
 	Lag    time.Duration `arg:"--lag" default:"0s"`
 }
 
-func (*cloudCmd) usage() string { return cloudUsage }
+func (*cloudCmd) Usage() string { return cloudUsage }
 
-func (cl *cloudCmd) run(ctx context.Context) error {
+func (cl *cloudCmd) Run(ctx context.Context, _ io.Writer) error {
 	return stand.Serve(ctx, stand.NewCloud(cl.Lag).App(), cl.Listen, nil)
 }
--- a/cmd/standin/engine.go
+++ b/cmd/standin/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"lycheepick/internal/fake/stand"
@@ -35,9 +36,9 @@
 	KVToken int64         `arg:"--kv-token" default:"131072"`
 }
 
-func (*engineCmd) usage() string { return engineUsage }
+func (*engineCmd) Usage() string { return engineUsage }
 
-func (en *engineCmd) run(ctx context.Context) error {
+func (en *engineCmd) Run(ctx context.Context, _ io.Writer) error {
 	app := stand.NewEngine(stand.EngineConfig{
 		Model: units.TargetID(en.Model), Slots: en.Slots, Step: en.Step,
 		PrefillRate: units.TokensPerSecond(en.Prefill),
--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,15 +54,15 @@
 	AllowUnknown bool          `arg:"--allow-unknown"`
 }
 
-func (*loadCmd) usage() string { return loadUsage }
+func (*loadCmd) Usage() string { return loadUsage }
 
-func (lo *loadCmd) run(ctx context.Context) error {
+func (lo *loadCmd) Run(ctx context.Context, out io.Writer) error {
 	re := stand.Load(ctx, stand.LoadConfig{
 		Address: lo.To, APIKey: lo.Key, Model: units.TargetID(lo.Model), Service: units.TargetID(lo.Service),
 		Rate: lo.Rate, For: lo.For, Streamed: lo.Streamed, Plain: lo.Plain, Tokens: lo.Tokens,
 		PromptBytes: lo.Prompt, Prefixes: lo.Prefixes, Seed: lo.Seed, Deadline: lo.Deadline, Direct: lo.Direct,
 	})
-	fmt.Print(re.Summary())
+	_, _ = fmt.Fprint(out, re.Summary())
 	if re.Wrong > 0 {
 		return errors.Errorf("%d wrong answers", re.Wrong)
 	}
--- a/cmd/standin/log.go
+++ b/cmd/standin/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"lycheepick/internal/fake/stand"
@@ -22,8 +23,8 @@
 	Retention time.Duration `arg:"--retention" default:"24h"`
 }
 
-func (*logCmd) usage() string { return logUsage }
+func (*logCmd) Usage() string { return logUsage }
 
-func (lo *logCmd) run(ctx context.Context) error {
+func (lo *logCmd) Run(ctx context.Context, _ io.Writer) error {
 	return stand.Serve(ctx, stand.NewLog(lo.Retention).App(), lo.Listen, nil)
 }
--- a/cmd/standin/plain.go
+++ b/cmd/standin/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 
 	"lycheepick/internal/fake/stand"
 )
@@ -22,8 +23,8 @@
 	Name   string `arg:"--name" default:"notify"`
 }
 
-func (*plainCmd) usage() string { return plainUsage }
+func (*plainCmd) Usage() string { return plainUsage }
 
-func (pl *plainCmd) run(ctx context.Context) error {
+func (pl *plainCmd) Run(ctx context.Context, _ io.Writer) error {
 	return stand.Serve(ctx, stand.NewPlain(pl.Name).App(), pl.Listen, nil)
 }
--- /dev/null
+++ b/internal/node/cline/cline.go
@@ -0,0 +1,91 @@
+// Package cline runs the subcommands of the project's programs.
+package cline
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
+
+	"lycheepick/internal/rule/fault"
+)
+
+// Kind tells why a command failed before it did anything.
+type Kind string
+
+// KindUsage marks options that are missing or do not go together.
+const KindUsage Kind = "usage"
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Exit statuses that all programs share.
+const (
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// Command is one subcommand.
+type Command interface {
+	// Usage returns the command's usage text in full.
+	Usage() string
+	// Run does what the command is for.
+	Run(ctx context.Context, out io.Writer) error
+}
+
+// Program is a program with subcommands.
+type Program struct {
+	Name  string
+	Usage string
+	// Exit returns the exit status for an error of a command; nil stands for ExitFailed.
+	Exit func(err error) int
+}
+
+// Run parses argv into dest, whose subcommands are Commands, runs the one that was
+// named, and returns the exit status. SIGTERM and SIGINT end its context.
+func (pr *Program) Run(dest any, argv []string, out, problems io.Writer) int {
+	ps, err := arg.NewParser(arg.Config{Program: pr.Name}, dest)
+	if err == nil {
+		err = ps.Parse(argv)
+	}
+	cmd, _ := ps.Subcommand().(Command)
+	switch {
+	case errors.Is(err, arg.ErrHelp) && cmd != nil:
+		_, _ = fmt.Fprint(out, cmd.Usage())
+		return 0
+	case errors.Is(err, arg.ErrHelp):
+		_, _ = fmt.Fprint(out, pr.Usage)
+		return 0
+	case err != nil:
+		_, _ = fmt.Fprintf(problems, "%s: %v\n", pr.Name, err)
+		return ExitUsage
+	case cmd == nil:
+		_, _ = fmt.Fprint(problems, pr.Usage)
+		return ExitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := cmd.Run(ctx, out); err != nil {
+		_, _ = fmt.Fprintf(problems, "%s: %v\n", pr.Name, err)
+		return pr.exit(err)
+	}
+	return 0
+}
+
+func (pr *Program) exit(err error) int {
+	switch {
+	case fault.Is(err, KindUsage):
+		return ExitUsage
+	case pr.Exit != nil:
+		return pr.Exit(err)
+	}
+	return ExitFailed
+}
+
+// Main runs a program with the process's own arguments and ends the process.
+func (pr *Program) Main(dest any) { os.Exit(pr.Run(dest, os.Args[1:], os.Stdout, os.Stderr)) }
--- a/tools/path.sh
+++ b/tools/path.sh
@@ -2,17 +2,9 @@
 # Measures what one node adds to a request, with an engine that answers at once.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-out=$(mktemp -d)
 base=${MEASURE_PORT:-18600}
-pids=()
-finish() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-  rm -rf "$out"
-}
+. tools/lib.sh
 trap finish EXIT
-at() { echo "127.0.0.1:$((base + $1))"; }
-start() { "$@" >>"$out/log" 2>&1 & pids+=($!); }
 start bin/standin log --listen "$(at 0)"
 start bin/standin cloud --listen "$(at 1)"
 start bin/standin engine --listen "$(at 2)" --step 1us --prefill 1e9 --slots 256
--- a/tools/red.sh
+++ b/tools/red.sh
@@ -7,6 +7,7 @@
 trap 'rm -rf "$copy"' EXIT
 git ls-files -z | xargs -0 cp --parents -t "$copy"
 export RAPID_CHECKS=${RAPID_CHECKS:-3000} # Some failures need more schedules than CI runs.
+export PROOF_WAIT=${PROOF_WAIT:-12s} # The events that the tests wait for do not come.
 missed=0
 total=0
 while IFS= read -r line; do
