--- a/internal/proof/main_test.go
+++ b/internal/proof/main_test.go
@@ -16,6 +16,8 @@
 // programs holds the folder of the three programs, built once for all scripts.
 var programs string
 
+var buildFlags = []string{"build"}
+
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "proof")
 	if err != nil {
@@ -23,7 +25,7 @@
 	}
 	programs = dir
 	code := 1
-	if out, err := exec.Command("go", "build", "-o", dir, "../../cmd/...").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", append(buildFlags, "-o", dir, "../../cmd/...")...).CombinedOutput(); err != nil {
 		println(string(out))
 	} else {
 		code = m.Run()
--- a/internal/proof/procs_test.go
+++ b/internal/proof/procs_test.go
@@ -125,6 +125,19 @@
 	for _, li := range pr.links {
 		li.close()
 	}
+	pr.findRaces()
+}
+
+// findRaces fails the script if a program reported a data race.
+func (pr *procs) findRaces() {
+	logs, _ := filepath.Glob(filepath.Join(pr.dir, "*.log"))
+	for _, file := range logs {
+		raw, err := os.ReadFile(file)
+		if at := strings.Index(string(raw), "WARNING: DATA RACE"); err == nil && at >= 0 {
+			pr.env.T().Log(string(raw[at:min(len(raw), at+3000)]))
+			pr.env.T().FailNow()
+		}
+	}
 }
 
 // up starts the platform, engines, plain services and nodes, one zone for each node.
