--- /dev/null
+++ b/internal/edge/fleet/fleet_test.go
@@ -0,0 +1,109 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"lycheepick/internal/edge/engine"
+	"lycheepick/internal/edge/fleet"
+	"lycheepick/internal/rule/units"
+	"lycheepick/internal/state/member"
+)
+
+// silent drops what is noted.
+type silent struct{ events []string }
+
+// Note implements fleet.Audit.
+func (si *silent) Note(event, subject, _ string) { si.events = append(si.events, event+" "+subject) }
+
+func members(nodes, servers int) []member.Member {
+	var out []member.Member
+	for num := range nodes {
+		out = append(out, member.Member{Instance: units.Instance{VM: units.VMID(fmt.Sprintf("node-%03d", num)), Incarnation: 1}, Address: "a"})
+	}
+	for num := range servers {
+		out = append(out, member.Member{
+			Instance: units.Instance{VM: units.VMID(fmt.Sprintf("engine-%03d", num)), Incarnation: 1},
+			Role:     member.RoleEngine, Target: units.TargetID(fmt.Sprint("model-", num%6)), Zone: "zone-1",
+		})
+	}
+	return out
+}
+
+func TestServerIsEjectedAndComesBack(t *testing.T) {
+	gm := gomega.NewWithT(t)
+	si := &silent{}
+	fl := fleet.New(si)
+	fl.SetMembers(members(1, 2))
+	now := time.Now()
+	for range 3 {
+		fl.Failed("engine-000", now)
+	}
+	gm.Expect(fl.Snapshot().Replica("engine-000").Usable).To(gomega.BeFalse())
+	gm.Expect(fl.Snapshot().Replica("engine-001").Usable).To(gomega.BeTrue())
+	fl.Reported("engine-000", &engine.Report{Slots: 4}, now.Add(time.Minute))
+	gm.Expect(fl.Snapshot().Replica("engine-000").Usable).To(gomega.BeTrue())
+	gm.Expect(si.events).To(gomega.Equal([]string{"server_ejected engine-000", "server_returned engine-000"}))
+}
+
+// A VM id that comes back as another VM starts with a clean record.
+func TestNewIncarnationStartsAfresh(t *testing.T) {
+	gm := gomega.NewWithT(t)
+	fl := fleet.New(&silent{})
+	list := members(1, 1)
+	fl.SetMembers(list)
+	for range 3 {
+		fl.Failed("engine-000", time.Now())
+	}
+	list = members(1, 1)
+	list[1].Incarnation = 2
+	fl.SetMembers(list)
+	gm.Expect(fl.Snapshot().Replica("engine-000").Usable).To(gomega.BeTrue())
+}
+
+// All nodes that see the same members agree on the stewards, and a node that leaves
+// loses its own alone.
+func TestStewards(t *testing.T) {
+	gm := gomega.NewWithT(t)
+	fl := fleet.New(&silent{})
+	list := members(5, 40)
+	fl.SetMembers(list)
+	before := fl.Snapshot()
+	left := members(5, 40)
+	left[2].State = member.Leaving
+	fl.SetMembers(left)
+	moved := 0
+	for _, me := range list[5:] {
+		was, is := before.Steward(me.VM), fl.Snapshot().Steward(me.VM)
+		gm.Expect(is.VM).NotTo(gomega.Equal(units.VMID("node-002")))
+		if was.VM != is.VM {
+			gm.Expect(was.VM).To(gomega.Equal(units.VMID("node-002")))
+			moved++
+		}
+	}
+	gm.Expect(moved).To(gomega.BeNumerically(">", 0))
+}
+
+func BenchmarkSetMembers(b *testing.B) {
+	for _, size := range [][2]int{{8, 27}, {90, 150}, {360, 600}} {
+		b.Run(fmt.Sprintf("%dx%d", size[0], size[1]), func(b *testing.B) {
+			fl := fleet.New(&silent{})
+			list := members(size[0], size[1])
+			for num := 0; b.Loop(); num++ {
+				list[0].TableVersion = units.Version(num)
+				fl.SetMembers(list)
+			}
+		})
+		b.Run(fmt.Sprintf("%dx%d/nodes-change", size[0], size[1]), func(b *testing.B) {
+			fl := fleet.New(&silent{})
+			list := members(size[0], size[1])
+			for num := 0; b.Loop(); num++ {
+				list[0].State = member.State(num % 2)
+				fl.SetMembers(list)
+			}
+		})
+	}
+}
--- a/internal/fake/stand/engine.go
+++ b/internal/fake/stand/engine.go
@@ -51,6 +51,8 @@
 	prefill  sync.Mutex
 	fencing  int64
 	cancels  int
+	// continued counts the requests that brought tokens along.
+	continued int
 }
 
 // generation is one request in the batch.
@@ -95,15 +97,17 @@
 
 // EngineStats is what a test can ask an engine.
 type EngineStats struct {
-	Running  int                     `json:"running"`
-	Canceled int                     `json:"canceled"`
-	Starts   map[units.RequestID]int `json:"starts"`
+	Running  int `json:"running"`
+	Canceled int `json:"canceled"`
+	// Continued counts the requests that went on from tokens generated before.
+	Continued int                     `json:"continued"`
+	Starts    map[units.RequestID]int `json:"starts"`
 }
 
 func (en *Engine) stats(ct *fiber.Ctx) error {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	return ct.JSON(EngineStats{Running: len(en.running), Canceled: en.cancels, Starts: en.starts})
+	return ct.JSON(EngineStats{Running: len(en.running), Canceled: en.cancels, Continued: en.continued, Starts: en.starts})
 }
 
 // prompt is the part of a request that the stand-in reads.
@@ -205,6 +209,9 @@
 	jo.gen = &generation{cancel: cancel, context: jo.promptTokens + units.Tokens(len(jo.pr.ContinueTokens))}
 	en.running[jo.id] = jo.gen
 	en.starts[jo.id]++
+	if len(jo.pr.ContinueTokens) > 0 {
+		en.continued++
+	}
 }
 
 func (jo *genJob) leave() {
--- a/internal/peer/mesh/mesh_test.go
+++ b/internal/peer/mesh/mesh_test.go
@@ -85,3 +85,22 @@
 		}
 	})
 }
+
+// BenchmarkCall measures a call over a kept connection, with both sides in one process.
+func BenchmarkCall(b *testing.B) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	go func() { _ = mesh.Serve(ctx, ls, []byte("the right secret"), &echo{}) }()
+	po := mesh.NewPool([]byte("the right secret"))
+	defer po.Close()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := po.Peer(ctx, ls.Addr().String()).Status(ctx, &wire.StatusRequest{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/proof/procs_test.go
+++ b/internal/proof/procs_test.go
@@ -319,14 +319,40 @@
 	return pr.awaitMetric(name, "servers_usable", "==", float64(servers))
 }
 
+func (pr *procs) engineStats(name string) (stats stand.EngineStats, err error) {
+	_, body, err := pr.get(name, "/admin/stats")
+	if err == nil {
+		err = json.Unmarshal(body, &stats)
+	}
+	return stats, err
+}
+
+// crashBusy kills the one engine that has requests in progress.
+func (pr *procs) crashBusy() error {
+	for name := range pr.procs {
+		if !strings.HasPrefix(name, "engine-") {
+			continue
+		}
+		if stats, err := pr.engineStats(name); err == nil && stats.Running > 0 {
+			return pr.signal(name, syscall.SIGKILL)
+		}
+	}
+	return fmt.Errorf("no engine is busy")
+}
+
 func (pr *procs) metric(name, metric string) (float64, error) {
-	if strings.HasPrefix(name, "engine-") {
-		_, body, err := pr.get(name, "/admin/stats")
-		var stats stand.EngineStats
-		if err == nil {
-			err = json.Unmarshal(body, &stats)
+	if name == "engines" {
+		total := 0.0
+		for other := range pr.procs {
+			if stats, err := pr.engineStats(other); strings.HasPrefix(other, "engine-") && err == nil {
+				total += float64(stats.Continued)
+			}
 		}
-		return float64(stats.Running), err
+		return total, nil
+	}
+	if strings.HasPrefix(name, "engine-") {
+		stats, err := pr.engineStats(name)
+		return map[string]float64{"running": float64(stats.Running), "continued": float64(stats.Continued)}[metric], err
 	}
 	_, body, err := pr.get(name, "/metrics")
 	if err != nil {
