--- a/cmd/measure/path.go
+++ b/cmd/measure/path.go
@@ -43,7 +43,7 @@
 	_, _ = fmt.Fprintln(out, "| callers | way | requests/s | p50 | p95 | p99 | allocations a request in the node |")
 	_, _ = fmt.Fprintln(out, "|---|---|---|---|---|---|---|")
 	reached := 0.0
-	for _, callers := range []int{1, 64} {
+	for _, callers := range []int{1, 8, 64} {
 		for _, way := range []string{"engine", "node"} {
 			rate, hist, allocs, err := pc.closed(ctx, way, callers)
 			if err != nil {
--- a/internal/proof/procs_test.go
+++ b/internal/proof/procs_test.go
@@ -19,6 +19,7 @@
 
 	"lycheepick/internal/fake/stand"
 	"lycheepick/internal/plat/cloud"
+	"lycheepick/internal/plat/logsvc"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/state/table"
 )
@@ -46,6 +47,9 @@
 	vms   []cloud.VM
 	nodes int
 
+	// retention is how long the log keeps records, if not its own default.
+	retention string
+
 	results map[string]*result
 	loads   map[string]chan *loadEnd
 }
@@ -142,7 +146,11 @@
 
 // up starts the platform, engines, plain services and nodes, one zone for each node.
 func (pr *procs) up(nodes, engines, plains int, extra string) error {
-	if err := pr.start("log", "standin", "log", "--listen", pr.addr("log")); err != nil {
+	logArgs := []string{"standin", "log", "--listen", pr.addr("log")}
+	if pr.retention != "" {
+		logArgs = append(logArgs, "--retention", pr.retention)
+	}
+	if err := pr.start("log", logArgs...); err != nil {
 		return err
 	}
 	if err := pr.start("cloud", "standin", "cloud", "--listen", pr.addr("cloud")); err != nil {
@@ -259,6 +267,21 @@
 	}
 }
 
+// awaitExpiry waits until the log has dropped the first records of a stream.
+func (pr *procs) awaitExpiry(stream string) error {
+	return await("records of "+stream+" to expire", func() error {
+		_, body, err := pr.get("log", "/streams/"+stream+"/records?from=0")
+		var page logsvc.Page
+		if err == nil {
+			err = json.Unmarshal(body, &page)
+		}
+		if err == nil && page.First == 0 {
+			err = fmt.Errorf("the first record is still there")
+		}
+		return err
+	})
+}
+
 func (pr *procs) awaitHTTP(name, path string) error {
 	return await(name+path, func() error {
 		code, _, err := pr.get(name, path)
@@ -279,7 +302,7 @@
 		tab.Rows = append(tab.Rows,
 			table.Row{
 				Customer: cu.ID, TargetType: table.TargetModel, Target: "small", Kind: "default", Weight: 10, RequestsPerSecond: 4000,
-				TokensPerSecond: 1e7, InFlight: 4000, FirstToken: 5e9, BetweenTokens: 1e9, Deadline: 60e9, Idempotent: true, Attempts: 5,
+				TokensPerSecond: 1e7, InFlight: 4000, FirstToken: 5e9, BetweenTokens: 32e6, Deadline: 60e9, Idempotent: true, Attempts: 5,
 			},
 			table.Row{
 				Customer: cu.ID, TargetType: table.TargetService, Target: "notify", Kind: "default", Weight: 10, RequestsPerSecond: 4000,
@@ -327,14 +350,14 @@
 	return stats, err
 }
 
-// crashBusy kills the one engine that has requests in progress.
-func (pr *procs) crashBusy() error {
+// signalBusy sends a signal to an engine that has requests in progress.
+func (pr *procs) signalBusy(sig syscall.Signal) error {
 	for name := range pr.procs {
 		if !strings.HasPrefix(name, "engine-") {
 			continue
 		}
 		if stats, err := pr.engineStats(name); err == nil && stats.Running > 0 {
-			return pr.signal(name, syscall.SIGKILL)
+			return pr.signal(name, sig)
 		}
 	}
 	return fmt.Errorf("no engine is busy")
--- a/internal/proof/real_test.go
+++ b/internal/proof/real_test.go
@@ -22,7 +22,9 @@
 //
 //	up NODES ENGINES PLAINS [ENGINE FLAGS]  start a fleet with a table in force
 //	crash|freeze|thaw|term NAME             SIGKILL, SIGSTOP, SIGCONT, SIGTERM
-//	crash-busy                              SIGKILL an engine that has requests in progress
+//	crash-busy|freeze-busy                  SIGKILL or SIGSTOP an engine with requests in progress
+//	retention DURATION                      how long the log keeps records; stands before up
+//	expired STREAM                          wait until the log has dropped records of a stream
 //	revive NODE                             start a node again after it ended
 //	gone NAME                               wait until a process has ended
 //	fault NAME JSON                         give a stand-in a fault
@@ -54,11 +56,17 @@
 		}
 		return pr.publishFirst()
 	}),
-	"crash":      withProcs(func(pr *procs, args []string) error { return pr.signal(args[0], syscall.SIGKILL) }),
-	"crash-busy": withProcs(func(pr *procs, _ []string) error { return pr.crashBusy() }),
-	"freeze":     withProcs(func(pr *procs, args []string) error { return pr.signal(args[0], syscall.SIGSTOP) }),
-	"thaw":       withProcs(func(pr *procs, args []string) error { return pr.signal(args[0], syscall.SIGCONT) }),
-	"term":       withProcs(func(pr *procs, args []string) error { return pr.signal(args[0], syscall.SIGTERM) }),
+	"crash":       withProcs(func(pr *procs, args []string) error { return pr.signal(args[0], syscall.SIGKILL) }),
+	"crash-busy":  withProcs(func(pr *procs, _ []string) error { return pr.signalBusy(syscall.SIGKILL) }),
+	"freeze-busy": withProcs(func(pr *procs, _ []string) error { return pr.signalBusy(syscall.SIGSTOP) }),
+	"retention": withProcs(func(pr *procs, args []string) error {
+		pr.retention = args[0]
+		return nil
+	}),
+	"expired": withProcs(func(pr *procs, args []string) error { return pr.awaitExpiry(args[0]) }),
+	"freeze":  withProcs(func(pr *procs, args []string) error { return pr.signal(args[0], syscall.SIGSTOP) }),
+	"thaw":    withProcs(func(pr *procs, args []string) error { return pr.signal(args[0], syscall.SIGCONT) }),
+	"term":    withProcs(func(pr *procs, args []string) error { return pr.signal(args[0], syscall.SIGTERM) }),
 	"revive": withProcs(func(pr *procs, args []string) error {
 		<-pr.procs[args[0]].done
 		return pr.startNode(args[0])
--- a/tools/measure.sh
+++ b/tools/measure.sh
@@ -18,6 +18,7 @@
 none is named. Times of the decisions alone are those of a virtual clock.
 TEXT
 part "What a node adds to a request" bash tools/path.sh
+part "A table in force everywhere" bash tools/inforce.sh
 part "Idempotency keys" bin/measure keys
 part "Routing at the sizes of today" bin/measure route
 part "Routing at the design size" bin/measure route --size design --for 10s
--- a/tools/path.sh
+++ b/tools/path.sh
@@ -16,7 +16,7 @@
  "platform": {"log": "http://$(at 0)", "cloud": "http://$(at 1)"},
  "secret": {"file": "$out/secret"}}
 JSON
-curl -sSf -X POST -H 'Content-Type: application/json' "http://$(at 1)/admin/vms" -d "[
+curl -sSf -o /dev/null -X POST -H 'Content-Type: application/json' "http://$(at 1)/admin/vms" -d "[
  {\"vm\":\"engine-1\",\"incarnation\":1,\"zone\":\"zone-1\",\"role\":\"engine\",\"address\":\"$(at 2)\",\"target\":\"small\",\"class\":\"gpu\",\"state\":\"live\"}]"
 sed 's/"seats": 8/"seats": 1/; s/"requests_per_second": 800/"requests_per_second": 100000/; s/"tokens_per_second": 800000/"tokens_per_second": 100000000/' testdata/demo/table.json >"$out/table.json"
 start bin/lycheepickd --config "$out/node.json"
--- a/tools/red.sh
+++ b/tools/red.sh
@@ -24,7 +24,9 @@
   out=$(cd "$copy" && timeout 300 go test -count=1 -run "$tests" $packages 2>&1)
   status=$?
   cp "$file" "$copy/$file"
-  if [ "$status" -eq 0 ]; then
+  if grep -q 'no tests to run' <<<"$out"; then
+    echo "BROKEN $name: no test is called $tests"; missed=$((missed + 1))
+  elif [ "$status" -eq 0 ]; then
     echo "GREEN  $name: $tests passes without it"; missed=$((missed + 1))
   elif grep -qE 'build failed|setup failed' <<<"$out"; then
     echo "BROKEN $name: $(grep -m1 -E '\.go:[0-9]+:' <<<"$out")"; missed=$((missed + 1))
