--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -91,8 +91,12 @@
 	server   *serve.Server
 	meters   *meters
 
-	seated    atomic.Bool
-	tableAt   atomic.Int64 // When the first table was installed, in Unix nanoseconds.
+	seated  atomic.Bool
+	tableAt atomic.Int64 // When the first table was installed, in Unix nanoseconds.
+	// work ends all that the node does; tasks counts what spawn started.
+	work  context.Context
+	tasks conc.WaitGroup
+
 	leaving   atomic.Bool
 	leave     chan time.Time // Receives the deadline of this node's own VM.
 	reclaimMu sync.Mutex
@@ -141,9 +145,11 @@
 	// Work goes on while the node leaves, so it does not end with ctx.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	da.work = work
 	var wg conc.WaitGroup
+	defer da.tasks.Wait()
 	defer wg.Wait()
-	defer stop() // Runs before the wait.
+	defer stop() // Runs before the waits.
 	da.ledger = keys.NewLedger(work, da.logs, wg.Go)
 	da.server = serve.New(work, da, da.flow, serve.Limits{
 		Body: da.set.Limits.BodyBytes, Header: da.set.Limits.HeaderBytes, Connections: da.set.Limits.Connections,
@@ -227,6 +233,11 @@
 	return nil
 }
 
+// spawn runs a task that ends with the node.
+func (da *Daemon) spawn(task func(ctx context.Context)) {
+	da.tasks.Go(func() { task(da.work) })
+}
+
 // every calls do now and then until ctx ends, with some jitter, so that nodes that
 // started together do not stay in step.
 func every(ctx context.Context, period time.Duration, do func(context.Context)) {
--- a/internal/node/daemon/gossip.go
+++ b/internal/node/daemon/gossip.go
@@ -25,7 +25,7 @@
 		} else {
 			da.joinSeeds(ctx)
 		}
-		da.membersChanged(ctx)
+		da.membersChanged()
 	})
 }
 
@@ -121,7 +121,7 @@
 	plans := da.gossip.Urgent()
 	da.gossipMu.Unlock()
 	for _, plan := range plans {
-		go func() { _ = da.send(context.Background(), plan) }()
+		da.spawn(func(ctx context.Context) { _ = da.send(ctx, plan) })
 	}
 }
 
@@ -136,12 +136,12 @@
 	da.gossipMu.Unlock()
 	if changed {
 		da.sendUrgent()
-		da.membersChanged(context.Background())
+		da.membersChanged()
 	}
 }
 
 // membersChanged hands the membership on if it changed, and acts on what is new in it.
-func (da *Daemon) membersChanged(ctx context.Context) {
+func (da *Daemon) membersChanged() {
 	da.changeMu.Lock()
 	defer da.changeMu.Unlock()
 	list, changed := da.newMembers()
@@ -152,7 +152,7 @@
 	da.setPlaces()
 	da.startReclaims(list)
 	da.noticeSelf(list)
-	da.fetchNewest(ctx, list)
+	da.fetchNewest(list)
 }
 
 func (da *Daemon) newMembers() (list []member.Member, changed bool) {
@@ -167,7 +167,7 @@
 }
 
 // fetchNewest gets the table from a peer that says it has a newer one.
-func (da *Daemon) fetchNewest(ctx context.Context, list []member.Member) {
+func (da *Daemon) fetchNewest(list []member.Member) {
 	var best *member.Member
 	for idx := range list {
 		me := &list[idx]
@@ -177,7 +177,7 @@
 	}
 	in := da.table.Load()
 	if best != nil && (in == nil || best.TableVersion > in.Version) && best.TableVersion > 0 {
-		go da.fetchTable(ctx, best)
+		da.spawn(func(ctx context.Context) { da.fetchTable(ctx, best) })
 	}
 }
 
--- a/internal/node/daemon/keyed.go
+++ b/internal/node/daemon/keyed.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"lycheepick/internal/edge/keys"
@@ -84,15 +85,10 @@
 
 // outboxLoop records ends of keyed requests, each until it stands in the log.
 func (da *Daemon) outboxLoop(ctx context.Context) {
-	done := make(chan struct{})
+	var wg conc.WaitGroup
+	defer wg.Wait()
 	for range outboxWorkers {
-		go func() {
-			defer func() { done <- struct{}{} }()
-			da.outboxWork(ctx)
-		}()
-	}
-	for range outboxWorkers {
-		<-done
+		wg.Go(func() { da.outboxWork(ctx) })
 	}
 }
 
--- a/internal/node/daemon/peer.go
+++ b/internal/node/daemon/peer.go
@@ -22,7 +22,7 @@
 }
 
 // Gossip merges a peer's changes and returns this node's.
-func (ps *peerServer) Gossip(ctx context.Context, in *wire.GossipMessage) (*wire.GossipMessage, error) {
+func (ps *peerServer) Gossip(_ context.Context, in *wire.GossipMessage) (*wire.GossipMessage, error) {
 	msg, err := mesh.FromWire(in)
 	if err != nil {
 		return nil, err
@@ -31,7 +31,7 @@
 	out := ps.da.gossip.Receive(msg, time.Now())
 	ps.da.gossipMu.Unlock()
 	ps.da.sendUrgent()
-	ps.da.membersChanged(context.WithoutCancel(ctx))
+	ps.da.membersChanged()
 	return mesh.ToWire(&out), nil
 }
 
--- a/internal/node/daemon/session.go
+++ b/internal/node/daemon/session.go
@@ -88,14 +88,14 @@
 	}
 	homes := da.sessionHomes(rq)
 	if se, ok := da.sessions.take(cu, rq); ok {
-		go da.dropCopies(context.WithoutCancel(ctx), homes, cu, rq)
+		da.spawn(func(ctx context.Context) { da.dropCopies(ctx, homes, cu, rq) })
 		return se, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTime)
 	defer cancel()
 	for idx, me := range homes[:min(look, len(homes))] {
 		if se, ok := da.fetch(ctx, &me, cu, rq); ok {
-			go da.dropCopies(context.WithoutCancel(ctx), homes[idx+1:], cu, rq)
+			da.spawn(func(ctx context.Context) { da.dropCopies(ctx, homes[idx+1:], cu, rq) })
 			return se, true
 		}
 	}
--- a/internal/node/daemon/watch.go
+++ b/internal/node/daemon/watch.go
@@ -121,14 +121,14 @@
 	if vm.Role != cloud.RoleNode {
 		return
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), cloudTime)
+	da.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, cloudTime)
 		defer cancel()
 		rec := limit.SeatRecord{Op: limit.SeatGone, Instance: vm.Instance}
 		if _, err := da.logs.Append(ctx, logsvc.StreamSeats, rec); err != nil {
 			da.log.Debug("seat_not_freed", zap.Error(err))
 		}
-	}()
+	})
 }
 
 // noticeLoop reads reclaim notices while this node is a watcher.
@@ -196,12 +196,12 @@
 	}
 	da.reclaimMu.Unlock()
 	for _, wave := range waves {
-		go da.reclaim(wave)
+		da.spawn(func(ctx context.Context) { da.reclaim(ctx, wave) })
 	}
 }
 
-func (da *Daemon) reclaim(wave []member.Member) {
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTime+time.Until(wave[0].Deadline))
+func (da *Daemon) reclaim(ctx context.Context, wave []member.Member) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTime+time.Until(wave[0].Deadline))
 	defer cancel()
 	plan := da.flow.Reclaim(ctx, wave, flow.Export{
 		Bandwidth: da.set.Export.BytesPerSecond, PerToken: da.set.Export.BytesPerToken,
