--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 .PHONY: build test demo soak measure lint generate
 
 build:
-	go build -o bin ./cmd/...
+	go build -o bin/ ./cmd/...
 
 test:
 	bash tools/test.sh
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -3,7 +3,7 @@
 # mid-stream, checks every answer and stops all that it started.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o bin ./cmd/...
+go build -o bin/ ./cmd/...
 out=$(mktemp -d)
 base=${DEMO_PORT:-18400}
 pids=()
