Refuse a model row that is not idempotent

Cause: idempotency keys are claimed in the log for services alone, and requests to models are sent again when a VM is reclaimed, so a model row with idempotent false would have broken what docs/CALLERS.md promises of keys. Found by reading the change once more. Ruled out: claiming keys for models too, since a reclaim in mid-stream could then only end as unknown, against the promise that accepted requests survive it. Change: the check names the row, the field and why. Its test was red before, green after.

--- a/internal/state/table/table.go
+++ b/internal/state/table/table.go
@@ -279,6 +279,10 @@
 	case TargetModel:
 		ch.number(path+".tokens_per_second", float64(ro.TokensPerSecond), 1, MaxTokensPerSecond)
 		ch.duration(path+".between_tokens", ro.BetweenTokens, MinLatency, MaxLatency)
+		if !ro.Idempotent {
+			// Keys are claimed for services alone, so a model row could not keep the promise.
+			ch.add(path+".idempotent", "false", "true on a model, whose requests are sent again when a VM is reclaimed")
+		}
 	case TargetService:
 		ch.number(path+".tokens_per_second", float64(ro.TokensPerSecond), 0, 0)
 		ch.duration(path+".between_tokens", ro.BetweenTokens, 0, 0)
--- a/internal/state/table/table_test.go
+++ b/internal/state/table/table_test.go
@@ -28,15 +28,16 @@
 		change func(*table.Table)
 		want   string
 	}{
-		"weight":         {func(tab *table.Table) { tab.Rows[0].Weight = 0 }, "rows[0].weight: have 0, want 1 to 1000"},
-		"seats":          {func(tab *table.Table) { tab.Seats = 513 }, "seats: have 513, want 1 to 512"},
-		"attempts":       {func(tab *table.Table) { tab.Rows[0].Attempts = 11 }, "rows[0].attempts: have 11, want 1 to 10"},
-		"deadline":       {func(tab *table.Table) { tab.Rows[0].Deadline = 1e9 }, "rows[0].deadline: have 1s, want 1.1s to 1h0m0s"},
-		"unknown owner":  {func(tab *table.Table) { tab.Rows[0].Customer = "other" }, `rows[0].customer: have "other", want an id listed under customers`},
-		"key hash":       {func(tab *table.Table) { tab.Customers[0].KeyHashes[0] = "abc" }, "customers[0].key_hashes[0]: have a value of another shape, want a SHA-256 sum in 64 lower-case hex digits"},
-		"doubled row":    {func(tab *table.Table) { tab.Rows = append(tab.Rows, tab.Rows[0]) }, "rows[1]: have bluebonnet/small/draft, want a key other than that of rows[0]"},
-		"target type":    {func(tab *table.Table) { tab.Rows[0].TargetType = "vm" }, `rows[0].target_type: have "vm", want model or service`},
-		"service tokens": {func(tab *table.Table) { tab.Rows[0].TargetType = table.TargetService }, "rows[0].tokens_per_second: have 1000, want 0 to 0"},
+		"weight":          {func(tab *table.Table) { tab.Rows[0].Weight = 0 }, "rows[0].weight: have 0, want 1 to 1000"},
+		"seats":           {func(tab *table.Table) { tab.Seats = 513 }, "seats: have 513, want 1 to 512"},
+		"attempts":        {func(tab *table.Table) { tab.Rows[0].Attempts = 11 }, "rows[0].attempts: have 11, want 1 to 10"},
+		"deadline":        {func(tab *table.Table) { tab.Rows[0].Deadline = 1e9 }, "rows[0].deadline: have 1s, want 1.1s to 1h0m0s"},
+		"unknown owner":   {func(tab *table.Table) { tab.Rows[0].Customer = "other" }, `rows[0].customer: have "other", want an id listed under customers`},
+		"key hash":        {func(tab *table.Table) { tab.Customers[0].KeyHashes[0] = "abc" }, "customers[0].key_hashes[0]: have a value of another shape, want a SHA-256 sum in 64 lower-case hex digits"},
+		"doubled row":     {func(tab *table.Table) { tab.Rows = append(tab.Rows, tab.Rows[0]) }, "rows[1]: have bluebonnet/small/draft, want a key other than that of rows[0]"},
+		"target type":     {func(tab *table.Table) { tab.Rows[0].TargetType = "vm" }, `rows[0].target_type: have "vm", want model or service`},
+		"model runs once": {func(tab *table.Table) { tab.Rows[0].Idempotent = false }, "rows[0].idempotent: have false, want true on a model, whose requests are sent again when a VM is reclaimed"},
+		"service tokens":  {func(tab *table.Table) { tab.Rows[0].TargetType = table.TargetService }, "rows[0].tokens_per_second: have 1000, want 0 to 0"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			gm := gomega.NewWithT(t)
