--- a/cmd/lycheepickd/main.go
+++ b/cmd/lycheepickd/main.go
@@ -20,8 +20,10 @@
 const usage = `lycheepickd serves callers on one entry VM.
 
 usage: lycheepickd --config FILE [--check]
+       lycheepickd --platform [--check]
 
   --config FILE   the settings, a JSON file (docs/SETTINGS.md lists the fields)
+  --platform      serve on the users' platform, which names the file of settings
   --check         check the settings and the secret, and exit
   --version       print the version and exit
 
@@ -33,9 +35,10 @@
 `
 
 type args struct {
-	Config  string `arg:"--config" help:"settings file"`
-	Check   bool   `arg:"--check" help:"check the settings and exit"`
-	Version bool   `arg:"--version" help:"print the version"`
+	Config   string `arg:"--config" help:"settings file"`
+	Platform bool   `arg:"--platform" help:"serve on the users' platform"`
+	Check    bool   `arg:"--check" help:"check the settings and exit"`
+	Version  bool   `arg:"--version" help:"print the version"`
 }
 
 // Exit statuses.
@@ -65,6 +68,8 @@
 	case ar.Version:
 		fmt.Println("lycheepickd " + daemon.Version)
 		return 0
+	case ar.Platform:
+		return servePlatform(&ar)
 	case ar.Config == "":
 		fmt.Fprint(os.Stderr, usage)
 		return exitUsage
--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -6,11 +6,15 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"lycheepick/internal/rule/fault"
 )
@@ -35,21 +39,47 @@
 	idlePerServer = 64
 	bufferBytes   = 16 << 10
 	maxHeader     = 32 << 10
+	// userTimeout is how long sent bytes may stay unacknowledged before a connection
+	// counts as dead, which a server that lost its power or path never tells.
+	userTimeout = 3 * time.Second
 )
 
+// Options bound what a Caller uses. Zero values stand for the daemon's usual ones.
+type Options struct {
+	// Dial bounds the time to connect, Idle that for which a connection is kept.
+	Dial, Idle time.Duration
+	// Header bounds the bytes of an answer's head.
+	Header int
+}
+
 // Caller keeps idle connections to backend servers.
 type Caller struct {
+	opt  Options
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
 
 // NewCaller returns a Caller without connections.
-func NewCaller() *Caller { return &Caller{idle: map[string][]*conn{}} }
+func NewCaller() *Caller { return NewCallerWith(Options{}) }
+
+// NewCallerWith returns a Caller without connections and with its own bounds.
+func NewCallerWith(opt Options) *Caller {
+	if opt.Dial <= 0 {
+		opt.Dial = dialTimeout
+	}
+	if opt.Idle <= 0 {
+		opt.Idle = idleTimeout
+	}
+	if opt.Header <= 0 {
+		opt.Header = maxHeader
+	}
+	return &Caller{opt: opt, idle: map[string][]*conn{}}
+}
 
 type conn struct {
 	net.Conn
 	rd    *bufio.Reader
-	since time.Time
+	until time.Time
 }
 
 // Answer is the head of an answer and its body as it arrives. Close it after use.
@@ -83,7 +113,7 @@
 		an.discard()
 		return nil, fault.Wrap(op, KindBroken, err)
 	}
-	if err := an.Header.Read(cn.rd); err != nil {
+	if err := an.readHead(); err != nil {
 		an.discard()
 		return nil, fault.Wrap(op, KindBroken, err)
 	}
@@ -91,6 +121,33 @@
 	return an, nil
 }
 
+// readHead reads the head of the answer and passes over interim ones.
+func (an *Answer) readHead() error {
+	for {
+		an.Header.Reset()
+		if err := an.Header.Read(an.cn.rd); err != nil {
+			return err
+		}
+		if an.Header.StatusCode() >= fasthttp.StatusOK {
+			return nil
+		}
+	}
+}
+
+// Next reads the answer after this one on the same connection, whose body it skips. It is
+// for answers that belong to an earlier request. At most limit bytes are skipped.
+func (an *Answer) Next(limit int) error {
+	const op = "call.Next"
+	if _, err := io.CopyN(io.Discard, an.Body, int64(limit)); !errors.Is(err, io.EOF) || !an.Body.ended() {
+		return fault.New(op, KindBroken, "an answer to another request does not end")
+	}
+	if err := an.readHead(); err != nil {
+		return fault.Wrap(op, KindBroken, err)
+	}
+	an.Body = newBody(&an.Header, an.cn.rd)
+	return nil
+}
+
 // writers are used again, since a buffer for each request would be most of its garbage.
 var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferBytes) }}
 
@@ -111,12 +168,48 @@
 			return cn, nil
 		}
 	}
-	dl := net.Dialer{Timeout: dialTimeout}
+	dl := net.Dialer{Timeout: cl.opt.Dial, Control: detectDeath}
 	raw, err := dl.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, rd: bufio.NewReaderSize(raw, maxHeader)}, nil
+	return &conn{Conn: raw, rd: bufio.NewReaderSize(raw, cl.opt.Header)}, nil
+}
+
+// detectDeath makes a server that is gone without a word show as a broken connection.
+func detectDeath(_, _ string, raw syscall.RawConn) error {
+	var err error
+	cerr := raw.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if cerr != nil {
+		return cerr
+	}
+	return err
+}
+
+// isQuiet tells whether an idle connection is open and has nothing to read. Bytes that
+// came after a whole answer belong to no request.
+func (cn *conn) isQuiet() bool {
+	if cn.rd.Buffered() > 0 {
+		return false
+	}
+	sc, ok := cn.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, rerr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = rerr == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
 }
 
 func (cl *Caller) takeIdle(addr string) *conn {
@@ -127,7 +220,7 @@
 		cn := list[len(list)-1]
 		list = list[:len(list)-1]
 		cl.idle[addr] = list
-		if time.Since(cn.since) < idleTimeout {
+		if time.Now().Before(cn.until) && cn.isQuiet() {
 			return cn
 		}
 		_ = cn.Close()
@@ -142,7 +235,7 @@
 		_ = cn.Close()
 		return
 	}
-	cn.since = time.Now()
+	cn.until = time.Now().Add(cl.opt.Idle)
 	cl.idle[addr] = append(cl.idle[addr], cn)
 }
 
--- /dev/null
+++ b/internal/edge/relay/serve.go
@@ -0,0 +1,399 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"lycheepick/internal/rule/admit"
+	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/place"
+	"lycheepick/internal/rule/units"
+	"lycheepick/internal/state/answer"
+	"lycheepick/internal/state/routes"
+)
+
+const (
+	// mostSends bounds the dispatches of a request whose attempts were refused unrun.
+	mostSends = 4
+	// leastLeft is the time under which a request is not sent again.
+	leastLeft = 30 * time.Millisecond
+	// patienceFactor and patienceLeast tell how long a repeatable request waits for a
+	// first byte beyond the prediction before it goes elsewhere.
+	patienceFactor = 3
+	patienceLeast  = 400 * time.Millisecond
+	// comeBack is when callers are told to return if no server is known.
+	comeBack = 500 * time.Millisecond
+	// mostBody bounds a whole answer of a plain service.
+	mostBody = 16 << 20
+	// partBytes is the size of one read of a stream.
+	partBytes = 4 << 10
+)
+
+// run is one request in progress.
+type run struct {
+	rl   *Relay
+	rq   *Request
+	ex   Exchange
+	sink Sink
+	ma   *answer.Machine
+	ask  place.Ask
+	// sends counts dispatches, events the pieces passed on.
+	sends, events int
+	lastEvent     string
+	began         bool
+	// result is what an answered attempt says of its server.
+	result place.Result
+	// failure is a server's own answer that it failed, for the caller if no better one
+	// follows.
+	failure *failure
+}
+
+type failure struct {
+	head *fasthttp.ResponseHeader
+	body []byte
+}
+
+// Serve runs a request to its outcome. ctx ends when the caller leaves.
+func (rl *Relay) Serve(ctx context.Context, rq *Request, ex Exchange, sink Sink) {
+	rl.Counts.Received.Add(1)
+	rl.Meter.Offered(rq.Service, rq.Prompt)
+	if ok, after := rl.admit(time.Now(), rq); !ok {
+		rl.Counts.Limited.Add(1)
+		rl.refuse(rq, sink, fasthttp.StatusTooManyRequests, "the customer's limit is reached", after)
+		return
+	}
+	rl.first(rq.Service)
+	ctx, cancel := context.WithDeadline(ctx, rq.Until)
+	defer cancel()
+	ru := &run{
+		rl: rl, rq: rq, ex: ex, sink: sink, lastEvent: rq.LastEvent,
+		ma:  answer.New(rq.Route.Repeat != routes.Once, mostSends),
+		ask: place.Ask{Parts: rq.Parts, Prompt: rq.Prompt, Zone: rl.Zone},
+	}
+	ru.ma.Accept()
+	ru.loop(ctx)
+	if !ru.began {
+		rl.refund(rq)
+	}
+}
+
+func (rl *Relay) refuse(rq *Request, sink Sink, status int, reason string, after time.Duration) {
+	rl.Counts.NotRun.Add(1)
+	rl.Log.Info("request_refused", zap.String("request", string(rq.ID)), zap.String("route", rq.Route.Name),
+		zap.Uint64("config", uint64(rq.Config)), zap.String("reason", reason), zap.Int("status", status),
+		zap.Duration("retry_after", after))
+	sink.Refuse(status, reason, after)
+}
+
+func (ru *run) loop(ctx context.Context) {
+	runs := 0
+	for {
+		pi, ok := ru.pick()
+		if !ok {
+			return
+		}
+		att, _ := ru.ma.Dispatch()
+		ru.sends++
+		err := ru.attempt(ctx, &pi)
+		ru.settle(att, &pi, err)
+		if err == nil {
+			ru.finish(nil)
+			return
+		}
+		if !fault.Is(err, KindRefused) && !fault.Is(err, KindNotSent) {
+			runs++
+		}
+		if !ru.again(ctx, err, runs) {
+			ru.finish(err)
+			return
+		}
+		ru.ask.Avoid = append(ru.ask.Avoid, pi.Server.ID)
+	}
+}
+
+// pick chooses a server, or answers the caller that there is none in time.
+func (ru *run) pick() (picked, bool) {
+	now := time.Now()
+	rq := ru.rq
+	var after time.Duration
+	pi, found, sent := ru.rl.choose(now, rq.Service, &ru.ask, func(ch *place.Choice) bool {
+		if ru.sends > 0 {
+			return true
+		}
+		var hopeless bool
+		hopeless, after = admit.Hopeless(admit.Prospect{
+			First: ch.First, Waited: now.Sub(rq.Arrived), Left: rq.Until.Sub(now),
+			Target: rq.Route.Target, Idle: ch.Idle,
+		})
+		return !hopeless
+	})
+	switch {
+	case sent:
+		ru.rl.Log.Debug("server_chosen", zap.String("request", string(rq.ID)), zap.String("server", string(pi.Server.ID)),
+			zap.Int("send", ru.sends+1), zap.Duration("predicted", pi.First), zap.Int64("fresh_tokens", int64(pi.Fresh)),
+			zap.Duration("list_age", pi.age), zap.Uint64("config", uint64(rq.Config)))
+		return pi, true
+	case found:
+		ru.rl.Counts.Overload.Add(1)
+		ru.giveUp(fasthttp.StatusServiceUnavailable, "no server can answer in time", after)
+	default:
+		ru.rl.Counts.NoServer.Add(1)
+		ru.giveUp(fasthttp.StatusServiceUnavailable, "no server is usable", comeBack)
+	}
+	return pi, false
+}
+
+// giveUp ends a request for which there is no further attempt to make.
+func (ru *run) giveUp(status int, reason string, after time.Duration) {
+	if ru.ma.GiveUp() == answer.NotRun {
+		ru.rl.refuse(ru.rq, ru.sink, status, reason, after)
+		return
+	}
+	ru.unknown(fasthttp.StatusBadGateway, reason)
+}
+
+func (ru *run) unknown(status int, reason string) {
+	ru.rl.Counts.Unknown.Add(1)
+	ru.log("request_failed", reason, status)
+	ru.sink.Refuse(status, reason, 0)
+}
+
+func (ru *run) log(event, reason string, status int) {
+	ru.rl.Log.Info(event, zap.String("request", string(ru.rq.ID)), zap.String("route", ru.rq.Route.Name),
+		zap.Uint64("config", uint64(ru.rq.Config)), zap.String("reason", reason), zap.Int("status", status),
+		zap.Int("sends", ru.sends), zap.Int("events", ru.events), zap.Duration("took", time.Since(ru.rq.Arrived)))
+}
+
+// finish tells the caller the end of a request, with err if it has failed.
+func (ru *run) finish(err error) {
+	state := ru.ma.GiveUp()
+	if err != nil && ru.failure != nil && !ru.sink.Started() && !fault.Is(err, KindGone) {
+		err = ru.sink.Whole(ru.failure.head, ru.failure.body)
+	}
+	switch {
+	case err == nil:
+		ru.rl.Counts.Done.Add(1)
+		ru.rl.Log.Debug("request_done", zap.String("request", string(ru.rq.ID)), zap.Int("status", ru.sink.Status()),
+			zap.Int("sends", ru.sends), zap.Int("events", ru.events), zap.Duration("took", time.Since(ru.rq.Arrived)))
+	case fault.Is(err, KindGone):
+		ru.rl.Counts.Gone.Add(1)
+		ru.log("caller_gone", err.Error(), 0)
+	case state == answer.NotRun:
+		ru.rl.refuse(ru.rq, ru.sink, fasthttp.StatusServiceUnavailable, err.Error(), comeBack)
+	case fault.Is(err, KindTimeout):
+		ru.unknown(fasthttp.StatusGatewayTimeout, err.Error())
+	default:
+		ru.unknown(fasthttp.StatusBadGateway, err.Error())
+	}
+}
+
+// again tells whether a failed request is sent once more.
+func (ru *run) again(ctx context.Context, err error, runs int) bool {
+	if ctx.Err() != nil || time.Until(ru.rq.Until) < leastLeft || fault.Is(err, KindGone) || fault.Is(err, KindTimeout) {
+		return false
+	}
+	if !ru.ma.CanDispatch() || runs >= ru.rq.Route.Attempts || (ru.sink.Started() && ru.rq.Route.Repeat != routes.Resumable) {
+		return false
+	}
+	if !ru.rl.spend(ru.rq.Service) {
+		return false
+	}
+	ru.rl.Counts.Retries.Add(1)
+	if ru.sink.Started() {
+		ru.rl.Counts.Resumes.Add(1)
+	}
+	ru.rl.Log.Info("request_repeated", zap.String("request", string(ru.rq.ID)), zap.Int("send", ru.sends+1),
+		zap.String("last_event", ru.lastEvent), zap.String("reason", err.Error()))
+	return true
+}
+
+// settle notes the end of an attempt with the machine of the request and with the server.
+func (ru *run) settle(att units.AttemptID, pi *picked, err error) {
+	res, evidence := place.Broken, answer.MayHaveRun
+	switch {
+	case err == nil:
+		res = ru.result
+	case fault.Is(err, KindRefused):
+		res, evidence = place.Refused, answer.Refused
+	case fault.Is(err, KindNotSent):
+		evidence = answer.NotSent
+	case fault.Is(err, KindErrored):
+		res = place.Errored
+	case fault.Is(err, KindGone), fault.Is(err, KindTimeout):
+		res = place.Left
+	}
+	ru.rl.ended(ru.rq.Service, pi, res)
+	if err == nil {
+		ru.ma.Finish(att, 0)
+		return
+	}
+	ru.ma.Fail(att, evidence)
+}
+
+// attempt makes one attempt. It returns nil once the caller has the whole answer.
+func (ru *run) attempt(ctx context.Context, pi *picked) error {
+	const op = "relay.attempt"
+	outer := ctx
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if ru.rq.Route.Repeat != routes.Once {
+		patience := max(patienceLeast, pi.First*patienceFactor)
+		tm := time.AfterFunc(patience, func() { cancel(fault.New(op, KindSilent, "no answer within %s", patience)) })
+		defer tm.Stop()
+		ctx = context.WithValue(ctx, stopPatience{}, tm)
+	}
+	ru.rl.Counts.Sent.Add(1)
+	sentAt := time.Now()
+	rp, err := ru.ex.Send(ctx, &Attempt{Server: pi.Server, Until: ru.rq.Until, Rank: ru.rq.Rank, LastEvent: ru.lastEvent})
+	if err != nil {
+		return ru.why(outer, ctx, err)
+	}
+	defer rp.Close()
+	if rp.Refused || rp.Misdirected {
+		ru.rl.Counts.Refused.Add(1)
+		return fault.New(op, KindRefused, "server %s refused with status %d", pi.Server.ID, rp.Status)
+	}
+	if !rp.Proper {
+		return fault.New(op, KindBroken, "server %s gave an answer that is not its own, status %d", pi.Server.ID, rp.Status)
+	}
+	if ru.rq.Route.Stream && rp.Status == fasthttp.StatusOK {
+		err = ru.stream(ctx, pi, rp)
+	} else {
+		err = ru.whole(ctx, pi, rp, sentAt)
+	}
+	return ru.why(outer, ctx, err)
+}
+
+// stopPatience is the key of the timer that gives up an attempt without an answer.
+type stopPatience struct{}
+
+func calm(ctx context.Context) {
+	if tm, ok := ctx.Value(stopPatience{}).(*time.Timer); ok {
+		tm.Stop()
+	}
+}
+
+// why tells the cause of a failed attempt from the contexts that may have ended it.
+func (ru *run) why(outer, ctx context.Context, err error) error {
+	const op = "relay.why"
+	if err == nil || fault.Is(err, KindErrored) {
+		return err
+	}
+	if fault.Is(err, KindNotSent) && outer.Err() == nil {
+		return err
+	}
+	switch {
+	case errors.Is(outer.Err(), context.DeadlineExceeded):
+		return fault.Wrap(op, KindTimeout, err)
+	case outer.Err() != nil:
+		return fault.Wrap(op, KindGone, err)
+	case ctx.Err() != nil:
+		return fault.Wrap(op, KindSilent, context.Cause(ctx))
+	}
+	return err
+}
+
+// start notes the first byte of an answer that ran.
+func (ru *run) start(ctx context.Context, pi *picked, began time.Time) {
+	calm(ctx)
+	ru.rl.heard(ru.rq.Service, pi)
+	ru.began = true
+	if ru.rq.Customer != nil {
+		ru.rl.Meter.Began(ru.rq.Customer.ID, began)
+	}
+}
+
+// whole passes on an answer once all of it is there.
+func (ru *run) whole(ctx context.Context, pi *picked, rp *Reply, sentAt time.Time) error {
+	const op = "relay.whole"
+	ru.start(ctx, pi, sentAt)
+	body, err := io.ReadAll(io.LimitReader(rp.Body, mostBody))
+	if err != nil {
+		return fault.Wrap(op, KindBroken, err)
+	}
+	if rp.Status >= fasthttp.StatusInternalServerError && ru.mayRepeat() {
+		ru.failure = &failure{head: rp.Head, body: body}
+		return fault.New(op, KindErrored, "server %s answered with status %d", pi.Server.ID, rp.Status)
+	}
+	if ru.sink.Started() {
+		return fault.New(op, KindErrored, "server %s refused to resume with status %d", pi.Server.ID, rp.Status)
+	}
+	ru.rl.FirstEvent(time.Since(ru.rq.Arrived))
+	if err := ru.sink.Whole(rp.Head, body); err != nil {
+		return fault.Wrap(op, KindGone, err)
+	}
+	if rp.Status >= fasthttp.StatusInternalServerError {
+		ru.result = place.Errored
+	}
+	return nil
+}
+
+// mayRepeat tells whether an answer that tells a failure can be replaced by another.
+func (ru *run) mayRepeat() bool {
+	return ru.rq.Route.Repeat != routes.Once && ru.sends < ru.rq.Route.Attempts && time.Until(ru.rq.Until) > leastLeft
+}
+
+var (
+	eventEnd = []byte("\n\n")
+	idField  = []byte("id:")
+)
+
+// stream passes on events as they arrive, each whole.
+func (ru *run) stream(ctx context.Context, pi *picked, rp *Reply) error {
+	const op = "relay.stream"
+	var held []byte
+	buf := make([]byte, partBytes)
+	for first := true; ; {
+		num, err := rp.Body.Read(buf)
+		held = append(held, buf[:num]...)
+		if at := bytes.LastIndex(held, eventEnd); at >= 0 {
+			if first {
+				first = false
+				ru.start(ctx, pi, time.Now())
+			}
+			if err := ru.pass(rp, held[:at+len(eventEnd)]); err != nil {
+				return fault.Wrap(op, KindGone, err)
+			}
+			held = append(held[:0], held[at+len(eventEnd):]...)
+		}
+		switch {
+		case errors.Is(err, io.EOF) && len(held) == 0 && ru.sink.Started():
+			if err := ru.sink.End(); err != nil {
+				return fault.Wrap(op, KindGone, err)
+			}
+			return nil
+		case errors.Is(err, io.EOF):
+			return fault.New(op, KindBroken, "server %s ended a stream within an event", pi.Server.ID)
+		case err != nil:
+			return fault.Wrap(op, KindBroken, err)
+		}
+	}
+}
+
+// pass sends whole events to the caller.
+func (ru *run) pass(rp *Reply, events []byte) error {
+	if !ru.sink.Started() {
+		ru.rl.FirstEvent(time.Since(ru.rq.Arrived))
+		if err := ru.sink.Start(rp.Head); err != nil {
+			return err
+		}
+	}
+	for _, ev := range bytes.Split(events, eventEnd) {
+		if len(ev) == 0 {
+			continue
+		}
+		ru.events++
+		for _, line := range bytes.Split(ev, []byte("\n")) {
+			if id, ok := bytes.CutPrefix(line, idField); ok {
+				ru.lastEvent = string(bytes.TrimSpace(id))
+			}
+		}
+	}
+	return ru.sink.Part(events)
+}
--- /dev/null
+++ b/internal/node/entry/follow.go
@@ -0,0 +1,233 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepick/internal/plat/stream"
+	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/units"
+)
+
+const (
+	// configWait is how long a read of the configuration's stream waits for a record.
+	configWait = 10 * time.Second
+	// serversWait is the same for the list of servers. A longer silence of the store
+	// tells that it is lost, so that peers are asked.
+	serversWait = 1200 * time.Millisecond
+	// serversPause gathers the records of several servers in one read.
+	serversPause = 100 * time.Millisecond
+	// retryPause is the pause after a call to the store that failed.
+	retryPause = 250 * time.Millisecond
+)
+
+// followConfig keeps the configuration in force up to date.
+func (no *Node) followConfig(ctx context.Context) {
+	next := units.Offset(-1)
+	up := true
+	for ctx.Err() == nil {
+		var err error
+		if next < 0 {
+			next, err = no.loadConfig(ctx)
+		} else {
+			next, err = no.readConfig(ctx, next)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		up = no.noteStore("config", up, err)
+		if err != nil && !sleep(ctx, retryPause) {
+			return
+		}
+	}
+}
+
+// noteStore logs each loss and return of the store.
+func (no *Node) noteStore(what string, up bool, err error) bool {
+	switch {
+	case err != nil && up:
+		no.log.Warn("store_lost", zap.String("reader", what), zap.Error(err))
+	case err == nil && !up:
+		no.log.Info("store_back", zap.String("reader", what))
+	}
+	return err == nil
+}
+
+func (no *Node) loadConfig(ctx context.Context) (units.Offset, error) {
+	items, end, err := no.pf.Store.Newest(ctx, no.pf.Operator)
+	if err != nil {
+		return -1, err
+	}
+	for _, it := range items {
+		no.takeRecord(it, "store")
+	}
+	return end, nil
+}
+
+func (no *Node) readConfig(ctx context.Context, next units.Offset) (units.Offset, error) {
+	page, err := no.pf.Store.Read(ctx, no.pf.Operator, next, configWait)
+	if fault.Is(err, stream.KindExpired) {
+		return -1, nil // Records were dropped: the newest of each key are still there.
+	}
+	if err != nil {
+		return next, err
+	}
+	for idx, rec := range page.Records {
+		off := page.From + units.Offset(idx)
+		if it, ok := no.pf.Split(off, rec); ok {
+			no.takeRecord(it, "store")
+		}
+	}
+	return page.From + units.Offset(len(page.Records)), nil
+}
+
+func (no *Node) takeRecord(it stream.Keyed, source string) {
+	if it.Key == no.pf.ConfigKey && len(it.Value) > 0 {
+		no.takeConfig(it.Value, source)
+	}
+}
+
+// takeConfig puts a configuration in force unless a later one is.
+func (no *Node) takeConfig(raw []byte, source string) {
+	co, err := no.pf.Config(raw)
+	if err != nil {
+		no.log.Warn("config_unreadable", zap.String("source", source), zap.Error(err))
+		return
+	}
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	before := no.config.Load()
+	if before != nil && before.Version >= co.Version {
+		return
+	}
+	no.relay.SetLimits(time.Now(), co)
+	no.config.Store(&inForce{Config: co, raw: raw})
+	var was units.Version
+	if before != nil {
+		was = before.Version
+	}
+	no.log.Info("config_in_force", zap.Uint64("config", uint64(co.Version)), zap.Uint64("before", uint64(was)),
+		zap.String("source", source), zap.Int("routes", len(co.Routes)))
+}
+
+// followServers keeps the list of backend servers up to date.
+func (no *Node) followServers(ctx context.Context) {
+	loaded, up := false, true
+	for ctx.Err() == nil {
+		var err error
+		if loaded {
+			loaded, err = no.readServers(ctx)
+		} else {
+			loaded, err = no.loadServers(ctx)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		up = no.noteStore("servers", up, err)
+		pause := serversPause
+		if err != nil {
+			no.mu.Lock()
+			no.servers.StoreDown()
+			no.mu.Unlock()
+			pause = retryPause
+		}
+		if !sleep(ctx, pause) {
+			return
+		}
+	}
+}
+
+func (no *Node) loadServers(ctx context.Context) (bool, error) {
+	items, end, err := no.pf.Store.Newest(ctx, no.pf.Servers)
+	if err != nil {
+		return false, err
+	}
+	no.mu.Lock()
+	now := time.Now()
+	no.servers.StoreUp(now)
+	listed := map[units.VMID]bool{}
+	for _, it := range items {
+		listed[units.VMID(it.Key)] = true
+		no.foldServer(now, it)
+	}
+	no.servers.Missing(now, listed)
+	no.servers.Skip(end)
+	no.mu.Unlock()
+	no.storeAt.Store(int64(no.steady()))
+	no.listed.Store(true)
+	no.publishServers("store_list")
+	return true, nil
+}
+
+func (no *Node) readServers(ctx context.Context) (bool, error) {
+	no.mu.Lock()
+	next := no.servers.Next()
+	no.mu.Unlock()
+	page, err := no.pf.Store.Read(ctx, no.pf.Servers, next, serversWait)
+	if fault.Is(err, stream.KindExpired) {
+		return false, nil
+	}
+	if err != nil {
+		return true, err
+	}
+	no.mu.Lock()
+	now := time.Now()
+	no.servers.StoreUp(now)
+	changed := false
+	for idx, rec := range page.Records {
+		off := page.From + units.Offset(idx)
+		it, ok := no.pf.Split(off, rec)
+		if ok {
+			changed = no.foldServer(now, it) || changed
+		}
+	}
+	no.servers.Skip(page.From + units.Offset(len(page.Records)))
+	no.mu.Unlock()
+	no.storeAt.Store(int64(no.steady()))
+	if changed {
+		no.publishServers("store")
+	}
+	return true, nil
+}
+
+// foldServer folds one record; the caller holds the lock.
+func (no *Node) foldServer(now time.Time, it stream.Keyed) bool {
+	id := units.VMID(it.Key)
+	if have, ok := no.records[it.Key]; ok && have.Offset >= it.Offset {
+		return false
+	}
+	if len(it.Value) == 0 {
+		no.records[it.Key] = it
+		if no.servers.Remove(now, it.Offset, id) {
+			no.log.Info("server_removed", zap.String("server", it.Key), zap.Int64("offset", int64(it.Offset)))
+			return true
+		}
+		return false
+	}
+	ac, err := no.pf.Server(it.Value)
+	if err != nil {
+		no.log.Warn("server_entry_unreadable", zap.String("server", it.Key), zap.Int64("offset", int64(it.Offset)), zap.Error(err))
+		return false
+	}
+	no.records[it.Key] = it
+	return no.servers.Put(now, it.Offset, id, ac)
+}
+
+// publishServers makes the list of servers known to the request path.
+func (no *Node) publishServers(source string) {
+	no.mu.Lock()
+	list := no.servers.List()
+	next := no.servers.Next()
+	no.relay.SetServers(time.Now(), list)
+	no.mu.Unlock()
+	draining := 0
+	for _, sv := range list {
+		if sv.Draining {
+			draining++
+		}
+	}
+	no.log.Info("servers_changed", zap.Int("servers", len(list)), zap.Int("draining", draining),
+		zap.Int64("offset", int64(next)), zap.String("source", source))
+}
--- /dev/null
+++ b/internal/node/entry/ready.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+
+	"lycheepick/internal/edge/door"
+	"lycheepick/internal/node/meter"
+)
+
+// readyServer answers the balancer.
+func (no *Node) readyServer() *door.Server {
+	return &door.Server{Limits: no.limits, Handler: func(_ context.Context, _ *door.Request, an *door.Answer) {
+		status := fasthttp.StatusOK
+		if !no.isReady() {
+			status = fasthttp.StatusServiceUnavailable
+		}
+		an.Refuse(status, "", 0)
+	}}
+}
+
+// isReady tells whether the node can serve callers.
+func (no *Node) isReady() bool {
+	return !no.leaving.Load() && no.config.Load() != nil && no.listed.Load()
+}
+
+// serveMetrics answers scrapers.
+func (no *Node) serveMetrics(ctx context.Context) {
+	ls, err := listen(no.set.Listen.Metrics)
+	if err != nil {
+		no.ended("metrics", err)
+		return
+	}
+	sv := &door.Server{Limits: no.limits, Handler: func(_ context.Context, _ *door.Request, an *door.Answer) {
+		text, contentType, err := meter.Text(no.registry)
+		if err != nil {
+			an.Refuse(fasthttp.StatusInternalServerError, err.Error(), 0)
+			return
+		}
+		var hd fasthttp.ResponseHeader
+		hd.SetContentType(contentType)
+		// A scraper that has gone asks again.
+		_ = an.Whole(&hd, text)
+	}}
+	no.ended("metrics", sv.Serve(ctx, ls))
+}
+
+func (no *Node) registerMetrics() {
+	co := &no.relay.Counts
+	for name, load := range map[string]func() int64{
+		"requests_received_total": co.Received.Load, "requests_done_total": co.Done.Load,
+		"requests_not_run_total": co.NotRun.Load, "requests_unknown_total": co.Unknown.Load,
+		"requests_gone_total": co.Gone.Load, "requests_limited_total": co.Limited.Load,
+		"requests_overload_total": co.Overload.Load, "requests_no_server_total": co.NoServer.Load,
+		"requests_repeated_total": co.Retries.Load, "streams_resumed_total": co.Resumes.Load,
+		"attempts_total": co.Sent.Load, "attempts_refused_total": co.Refused.Load,
+		"config_version": func() int64 {
+			if fo := no.config.Load(); fo != nil {
+				return int64(fo.Version)
+			}
+			return 0
+		},
+		"store_age_ms": func() int64 {
+			return (no.steady() - time.Duration(no.storeAt.Load())).Milliseconds()
+		},
+	} {
+		// The names are distinct, so registration can't fail.
+		_ = no.registry.Register(name, metrics.NewFunctionalGauge(load))
+	}
+	_ = no.registry.Register("first_byte_us", no.first)
+}
--- a/internal/node/logger/logger.go
+++ b/internal/node/logger/logger.go
@@ -28,11 +28,15 @@
 	if err != nil {
 		return nil, fault.Wrap(op, KindLevel, err)
 	}
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(encoderConfig()), zapcore.Lock(os.Stderr), least)
+	return zap.New(core).With(zap.String("node", node)), nil
+}
+
+func encoderConfig() zapcore.EncoderConfig {
 	cfg := zap.NewProductionEncoderConfig()
 	cfg.MessageKey = "event"
 	cfg.EncodeTime = func(at time.Time, enc zapcore.PrimitiveArrayEncoder) {
 		enc.AppendString(at.UTC().Format("2006-01-02T15:04:05.000Z07:00"))
 	}
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(os.Stderr), least)
-	return zap.New(core).With(zap.String("node", node)), nil
+	return cfg
 }
--- /dev/null
+++ b/internal/rule/place/place.go
@@ -0,0 +1,426 @@
+// Package place chooses the backend server of each request among the servers of one
+// service, from what this node has sent, what its peers report and what has failed.
+//
+// The load that it answers: prompts of thousands of tokens with shared leading parts, a
+// hot part that most requests share, bursts, and servers that vanish by the zone. A
+// prompt goes where its shared parts were read before, unless that server has so much to
+// read first that reading them again elsewhere is sooner. Rendezvous hashing makes nodes
+// agree on that server without a message.
+//
+// Nothing here does I/O or reads a clock, and nothing is safe for concurrent use.
+package place
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lycheepick/internal/rule/retry"
+	"lycheepick/internal/rule/units"
+	"lycheepick/internal/state/server"
+)
+
+// PartID names a part of a prompt that requests may share.
+type PartID uint64
+
+// Part is a leading part of a prompt.
+type Part struct {
+	ID     PartID
+	Tokens units.Tokens
+}
+
+// Ask is what a choice needs to know of a request.
+type Ask struct {
+	// Parts are the prompt's parts in order; the last one is the request's own.
+	Parts  []Part
+	Prompt units.Tokens
+	Zone   units.ZoneID
+	// Avoid lists servers that this request has already failed at.
+	Avoid []units.VMID
+}
+
+// Load is the work that one node has at a server.
+type Load struct {
+	// Running counts requests that were sent and have not ended.
+	Running int
+	// Unread is the number of prompt tokens of requests without a first token.
+	Unread units.Tokens
+}
+
+// Choice is a server with what is predicted there.
+type Choice struct {
+	Server server.Server
+	// First is the predicted time to the first token.
+	First time.Duration
+	// Fresh is the number of prompt tokens that the server has to read.
+	Fresh units.Tokens
+	// Idle is set if under half of the places of all servers are taken.
+	Idle bool
+	// Fits is the number of tokens that the server would read in a second.
+	Fits units.TokensPerSecond
+}
+
+const (
+	// startRate is the assumed rate of reading prompts until answers show it, in tokens
+	// per second; the users' sheets name 92 to 110 tokens per millisecond.
+	startRate units.TokensPerSecond = 80_000
+	// rateWeight is the weight of one observation in the smoothed rate.
+	rateWeight = 0.1
+	// leastSample is the shortest prompt that says something of the rate.
+	leastSample units.Tokens = 1500
+	// baseTime is added to each prediction: one decode step and the way there and back.
+	baseTime = 12 * time.Millisecond
+	// slotTime is the prediction's surcharge for a full batch.
+	slotTime = 40 * time.Millisecond
+	// missWeight charges tokens that are read again beyond the time that they take,
+	// since they delay the requests after this one.
+	missWeight = 0.7
+	// zoneTime is the surcharge for a server in another zone, whose bytes are priced.
+	zoneTime = 3 * time.Millisecond
+	// errorTime is the surcharge for a server all of whose answers are failures.
+	errorTime = 2 * time.Second
+	// errorWeight is the weight of one answer in the smoothed share of failures.
+	errorWeight = 0.12
+	// muteTime is how long a server may leave requests without any sign before new ones
+	// avoid it.
+	muteTime = 900 * time.Millisecond
+	// muteFor is how long a mute server is avoided before one request tries it again.
+	muteFor = 2 * time.Second
+	// peerTime is how long a peer's report counts.
+	peerTime = 2 * time.Second
+	// knownParts bounds the parts remembered for a server.
+	knownParts = 2048
+)
+
+type replica struct {
+	server.Server
+	own     Load
+	peers   map[units.VMID]peerLoad
+	parts   map[PartID]time.Time
+	health  retry.Health
+	errors  float64
+	heard   time.Time
+	waiting map[Ticket]sent
+	avoided time.Time
+}
+
+type peerLoad struct {
+	Load
+	at time.Time
+}
+
+type sent struct {
+	at    time.Time
+	fresh units.Tokens
+	alone bool
+}
+
+// Ticket names one dispatch.
+type Ticket uint64
+
+// Fleet is what is known of the servers of one service.
+type Fleet struct {
+	slots    int
+	rate     units.TokensPerSecond
+	replicas []*replica
+	byID     map[units.VMID]*replica
+	last     Ticket
+}
+
+// NewFleet returns a fleet without servers.
+func NewFleet() *Fleet {
+	return &Fleet{rate: startRate, byID: map[units.VMID]*replica{}}
+}
+
+// Set replaces the servers. What is known of those that stay is kept, unless they were
+// born anew.
+func (fl *Fleet) Set(now time.Time, list []server.Server) {
+	next := make(map[units.VMID]*replica, len(list))
+	fl.replicas = fl.replicas[:0]
+	for _, sv := range list {
+		re := fl.byID[sv.ID]
+		if re == nil || re.Born != sv.Born {
+			re = &replica{peers: map[units.VMID]peerLoad{}, parts: map[PartID]time.Time{}, waiting: map[Ticket]sent{}, heard: now}
+		}
+		re.Server = sv
+		next[sv.ID] = re
+		fl.replicas = append(fl.replicas, re)
+	}
+	fl.byID = next
+}
+
+// Peer notes what a peer reports of its own work.
+func (fl *Fleet) Peer(now time.Time, node units.VMID, loads map[units.VMID]Load) {
+	for id, re := range fl.byID {
+		if lo, ok := loads[id]; ok && lo != (Load{}) {
+			re.peers[node] = peerLoad{Load: lo, at: now}
+		} else {
+			delete(re.peers, node)
+		}
+	}
+}
+
+// Own returns this node's own work at each server that has any.
+func (fl *Fleet) Own(out map[units.VMID]Load) {
+	for id, re := range fl.byID {
+		if re.own != (Load{}) {
+			out[id] = re.own
+		}
+	}
+}
+
+// total adds up the work of all nodes at a server. A peer's unread tokens shrink with the
+// age of its report.
+func (fl *Fleet) total(now time.Time, re *replica) Load {
+	out := re.own
+	for node, pl := range re.peers {
+		age := now.Sub(pl.at)
+		if age > peerTime {
+			delete(re.peers, node)
+			continue
+		}
+		out.Running += pl.Running
+		read := units.Tokens(age.Seconds() * float64(fl.rate))
+		out.Unread += max(0, pl.Unread-read)
+	}
+	return out
+}
+
+// Choose picks a server. ok is false if none is usable.
+func (fl *Fleet) Choose(now time.Time, ask *Ask) (ch Choice, ok bool) {
+	home := fl.home(now, ask)
+	var best *replica
+	var bestScore time.Duration
+	taken, places := 0, 0
+	for _, re := range fl.replicas {
+		if !fl.usable(now, re) {
+			continue
+		}
+		lo := fl.total(now, re)
+		taken += lo.Running
+		places += max(re.Slots, 1)
+		if ask.avoids(re.ID) {
+			continue
+		}
+		first, fresh := fl.predict(now, re, lo, ask, re == home)
+		score := first + fl.readTime(fresh, missWeight) + time.Duration(re.errors*float64(errorTime))
+		if re.Zone != ask.Zone {
+			score += zoneTime
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = re, score
+			ch = Choice{Server: re.Server, First: first, Fresh: fresh, Fits: fl.rate}
+		}
+	}
+	ch.Idle = taken*2 < places
+	return ch, best != nil
+}
+
+// predict estimates the time to the first token at a server, and how much of the prompt
+// it has to read.
+func (fl *Fleet) predict(now time.Time, re *replica, lo Load, ask *Ask, home bool) (first time.Duration, fresh units.Tokens) {
+	fresh = max(0, ask.Prompt-re.cached(ask.Parts, home))
+	slots := max(re.Slots, 1)
+	first = baseTime + fl.readTime(lo.Unread+fresh, 1) + slotTime*time.Duration(lo.Running)/time.Duration(slots)
+	if over := lo.Running + 1 - slots; over > 0 {
+		first += slotTime * time.Duration(over)
+	}
+	if re.Warmup > now.Sub(re.Read) {
+		first += slotTime
+	}
+	return first, fresh
+}
+
+func (fl *Fleet) readTime(tokens units.Tokens, weight float64) time.Duration {
+	return time.Duration(float64(tokens) / float64(fl.rate) * weight * float64(time.Second))
+}
+
+// cached returns the number of leading tokens that a server is believed to hold. The
+// home of a prompt is believed to hold all that other requests share.
+func (re *replica) cached(parts []Part, home bool) units.Tokens {
+	var total units.Tokens
+	for idx, pa := range parts {
+		_, known := re.parts[pa.ID]
+		if !known && (!home || idx == len(parts)-1) {
+			break
+		}
+		total += pa.Tokens
+	}
+	return total
+}
+
+// home returns the server on which all nodes agree for a prompt's shared parts.
+func (fl *Fleet) home(now time.Time, ask *Ask) *replica {
+	if len(ask.Parts) < 2 {
+		return nil
+	}
+	key := ask.Parts[len(ask.Parts)-2].ID
+	var best *replica
+	var bestRank uint64
+	for _, re := range fl.replicas {
+		if !fl.usable(now, re) || re.Spot {
+			continue
+		}
+		if rank := rendezvous(key, re.ID); best == nil || rank > bestRank {
+			best, bestRank = re, rank
+		}
+	}
+	return best
+}
+
+func rendezvous(key PartID, id units.VMID) uint64 {
+	var buf [8]byte
+	binary.LittleEndian.PutUint64(buf[:], uint64(key))
+	di := xxhash.New()
+	_, _ = di.Write(buf[:])
+	_, _ = di.WriteString(string(id))
+	return di.Sum64()
+}
+
+func (ask *Ask) avoids(id units.VMID) bool {
+	for _, av := range ask.Avoid {
+		if av == id {
+			return true
+		}
+	}
+	return false
+}
+
+// usable tells whether a server gets new requests.
+func (fl *Fleet) usable(now time.Time, re *replica) bool {
+	if re.Draining {
+		return false
+	}
+	if !re.health.Usable() && re.health.Probed(now, true) != retry.Returned {
+		return false
+	}
+	return !fl.mute(now, re)
+}
+
+// mute tells whether a server has left requests without a sign for too long.
+func (fl *Fleet) mute(now time.Time, re *replica) bool {
+	if now.Before(re.avoided) {
+		return true
+	}
+	for _, se := range re.waiting {
+		patience := muteTime + fl.readTime(se.fresh, 2)
+		if now.Sub(se.at) > patience && re.heard.Before(se.at) {
+			re.avoided = now.Add(muteFor)
+			re.heard = now
+			return true
+		}
+	}
+	return false
+}
+
+// Send notes that a request goes to the chosen server.
+func (fl *Fleet) Send(now time.Time, ask *Ask, ch *Choice) Ticket {
+	fl.last++
+	re := fl.byID[ch.Server.ID]
+	if re == nil {
+		return fl.last
+	}
+	re.waiting[fl.last] = sent{at: now, fresh: ch.Fresh, alone: fl.total(now, re).Unread == 0}
+	re.own.Running++
+	re.own.Unread += ch.Fresh
+	if len(re.parts) > knownParts {
+		re.parts = map[PartID]time.Time{}
+	}
+	for _, pa := range ask.Parts {
+		re.parts[pa.ID] = now
+	}
+	return fl.last
+}
+
+// First notes the first token or byte of an answer.
+func (fl *Fleet) First(now time.Time, id units.VMID, ti Ticket) {
+	re := fl.byID[id]
+	if re == nil {
+		return
+	}
+	re.heard = now
+	se, ok := re.waiting[ti]
+	if !ok {
+		return
+	}
+	delete(re.waiting, ti)
+	re.own.Unread -= se.fresh
+	if took := now.Sub(se.at) - baseTime; se.alone && se.fresh >= leastSample && took > 0 {
+		sample := float64(se.fresh) / took.Seconds()
+		fl.rate = units.TokensPerSecond(float64(fl.rate)*(1-rateWeight) + sample*rateWeight)
+	}
+}
+
+// Result tells how an attempt ended.
+type Result int
+
+// The results.
+const (
+	// Good is an answer that the server meant to give.
+	Good Result = iota
+	// Refused is a refusal before the request ran.
+	Refused
+	// Errored is a failure that the server itself told.
+	Errored
+	// Broken is an answer that did not come, or not whole.
+	Broken
+	// Left is an attempt that this node ended, which says nothing of the server.
+	Left
+)
+
+// End notes the end of an attempt. It returns what that did to the server's health.
+func (fl *Fleet) End(now time.Time, id units.VMID, ti Ticket, res Result) retry.Change {
+	re := fl.byID[id]
+	if re == nil {
+		return retry.Unchanged
+	}
+	if se, ok := re.waiting[ti]; ok {
+		delete(re.waiting, ti)
+		re.own.Unread -= se.fresh
+	}
+	re.own.Running = max(0, re.own.Running-1)
+	switch res {
+	case Good:
+		re.heard = now
+		re.errors *= 1 - errorWeight
+		return re.health.Succeeded()
+	case Errored:
+		re.heard = now
+		re.errors += (1 - re.errors) * errorWeight
+	case Broken:
+		re.errors += (1 - re.errors) * errorWeight
+		return re.health.Failed(now)
+	case Refused:
+		re.heard = now
+	case Left:
+	}
+	return retry.Unchanged
+}
+
+// Usable returns the number of servers that get new requests.
+func (fl *Fleet) Usable(now time.Time) int {
+	count := 0
+	for _, re := range fl.replicas {
+		if fl.usable(now, re) {
+			count++
+		}
+	}
+	return count
+}
+
+// Servers returns the servers with the work of all nodes there.
+func (fl *Fleet) Servers(now time.Time) []Loaded {
+	out := make([]Loaded, 0, len(fl.replicas))
+	for _, re := range fl.replicas {
+		out = append(out, Loaded{Server: re.Server, Load: fl.total(now, re), Usable: fl.usable(now, re)})
+	}
+	return out
+}
+
+// Loaded is a server with the work of all nodes there.
+type Loaded struct {
+	server.Server
+	Load
+	Usable bool
+}
--- /dev/null
+++ b/internal/rule/pool/pool.go
@@ -0,0 +1,189 @@
+// Package pool keeps what all nodes admit of a customer's requests within one limit.
+//
+// Every node holds its own view of one token bucket for each customer: it takes from it
+// for its own requests, and its peers tell it what they have taken. Between two reports a
+// peer is taken to go on as before, so that a burst that arrives at all nodes at once is
+// seen before the reports of it are in. A peer that falls silent is taken to use at least
+// an equal part, since it may have been cut off and serve on.
+//
+// Nothing here does I/O or reads a clock, and nothing is safe for concurrent use.
+package pool
+
+import (
+	"time"
+
+	"lycheepick/internal/rule/units"
+)
+
+// Limit is what a customer may use over all nodes, in units a second.
+type Limit struct {
+	Rate, Burst float64
+}
+
+const (
+	// burstShare is the part of the burst that is given out; the rest covers requests
+	// that peers admit before their reports arrive.
+	burstShare = 0.7
+	// startShare is the part of the burst that a new node believes to be left: its
+	// predecessor and its peers may just have used the rest.
+	startShare = 0.25
+	// rateWeight is the weight of a report in a peer's smoothed rate.
+	rateWeight = 0.5
+	// silentTime is the age of a report from which on a peer counts as silent.
+	silentTime = 1500 * time.Millisecond
+	// goneTime is the age of a report from which on a peer no longer counts.
+	goneTime = 8 * time.Second
+	// leastRetry and mostRetry bound the time after which a caller is told to return.
+	leastRetry = 100 * time.Millisecond
+	mostRetry  = 5 * time.Second
+)
+
+// Totals are the units that a node has admitted since its start, by customer.
+type Totals map[units.CustomerID]float64
+
+type bucket struct {
+	limit Limit
+	level float64
+	last  time.Time
+	used  float64
+	peers map[units.VMID]*usage
+}
+
+type usage struct {
+	total float64
+	rate  float64
+	at    time.Time
+}
+
+type peer struct {
+	life int64
+	at   time.Time
+}
+
+// Pool holds the buckets of all customers.
+type Pool struct {
+	buckets map[units.CustomerID]*bucket
+	peers   map[units.VMID]*peer
+}
+
+// New returns a pool without limits.
+func New() *Pool {
+	return &Pool{buckets: map[units.CustomerID]*bucket{}, peers: map[units.VMID]*peer{}}
+}
+
+// SetLimits replaces the limits. Customers without one are not limited.
+func (po *Pool) SetLimits(now time.Time, limits map[units.CustomerID]Limit) {
+	for id, li := range limits {
+		bu := po.buckets[id]
+		if bu == nil {
+			po.buckets[id] = &bucket{limit: li, level: li.Burst * startShare, last: now, peers: map[units.VMID]*usage{}}
+			continue
+		}
+		bu.fill(now)
+		bu.limit = li
+		bu.level = min(bu.level, bu.capacity())
+	}
+	for id := range po.buckets {
+		if _, ok := limits[id]; !ok {
+			delete(po.buckets, id)
+		}
+	}
+}
+
+func (bu *bucket) capacity() float64 { return bu.limit.Burst * burstShare }
+
+func (bu *bucket) fill(now time.Time) {
+	if gap := now.Sub(bu.last); gap > 0 {
+		bu.level = min(bu.capacity(), bu.level+bu.limit.Rate*gap.Seconds())
+		bu.last = now
+	}
+}
+
+// Take admits a request of so many units, or tells when to come back.
+func (po *Pool) Take(now time.Time, cu units.CustomerID, amount float64) (ok bool, after time.Duration) {
+	bu := po.buckets[cu]
+	if bu == nil {
+		return true, 0
+	}
+	bu.fill(now)
+	// A single request may be larger than the whole bucket.
+	need := min(amount, bu.capacity())
+	short := need - (bu.level - bu.unseen(now, po.peers))
+	if short > 0 {
+		wait := time.Duration(short / max(bu.limit.Rate, 1) * float64(time.Second))
+		return false, min(max(wait, leastRetry), mostRetry)
+	}
+	bu.level -= amount
+	bu.used += amount
+	return true, 0
+}
+
+// Refund gives back what a request took that did not run.
+func (po *Pool) Refund(cu units.CustomerID, amount float64) {
+	if bu := po.buckets[cu]; bu != nil {
+		bu.level = min(bu.capacity(), bu.level+amount)
+		bu.used -= amount
+	}
+}
+
+// unseen estimates what peers have taken since their last reports.
+func (bu *bucket) unseen(now time.Time, peers map[units.VMID]*peer) float64 {
+	total := 0.0
+	equal := bu.limit.Rate / float64(len(peers)+1)
+	for id, pe := range peers {
+		age := now.Sub(pe.at)
+		if age > goneTime {
+			continue
+		}
+		rate := 0.0
+		if us := bu.peers[id]; us != nil {
+			rate = us.rate
+		}
+		if age > silentTime {
+			rate = max(rate, equal)
+		}
+		total += rate * min(age, silentTime).Seconds()
+	}
+	return total
+}
+
+// Used returns this node's totals.
+func (po *Pool) Used() Totals {
+	out := Totals{}
+	for id, bu := range po.buckets {
+		if bu.used != 0 {
+			out[id] = bu.used
+		}
+	}
+	return out
+}
+
+// Report takes in the totals of a peer. life tells apart the starts of the peer, whose
+// totals begin anew with each.
+func (po *Pool) Report(now time.Time, node units.VMID, life int64, totals Totals) {
+	pe := po.peers[node]
+	fresh := pe == nil || pe.life != life
+	if pe == nil {
+		pe = &peer{}
+		po.peers[node] = pe
+	}
+	if !fresh && life == pe.life && now.Sub(pe.at) > goneTime {
+		fresh = false
+	}
+	gap := now.Sub(pe.at)
+	pe.life, pe.at = life, now
+	for id, bu := range po.buckets {
+		bu.fill(now)
+		us := bu.peers[node]
+		if us == nil || fresh {
+			bu.peers[node] = &usage{total: totals[id], at: now}
+			continue
+		}
+		delta := totals[id] - us.total
+		bu.level -= delta
+		if gap > 0 && delta >= 0 {
+			us.rate = us.rate*(1-rateWeight) + delta/gap.Seconds()*rateWeight
+		}
+		us.total, us.at = totals[id], now
+	}
+}
