--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -112,8 +112,8 @@
 type Meter interface {
 	// Began notes that a backend server began to run a request of a customer.
 	Began(cu units.CustomerID, at time.Time)
-	// Offered notes a request for a service with the tokens that it brings.
-	Offered(service units.TargetID, prompt units.Tokens)
+	// Offered notes a request for a service with the prompt tokens that have to be read.
+	Offered(service units.TargetID, fresh units.Tokens)
 }
 
 // Counts are the totals that the metrics show.
@@ -152,9 +152,9 @@
 )
 
 // New returns a relay without servers and limits.
-func New(log *zap.Logger, zone units.ZoneID, me Meter) *Relay {
+func New(log *zap.Logger, zone units.ZoneID, me Meter, to pool.Tolerance) *Relay {
 	return &Relay{
-		Log: log, Zone: zone, Meter: me, fleets: map[units.TargetID]*service{}, pool: pool.New(),
+		Log: log, Zone: zone, Meter: me, fleets: map[units.TargetID]*service{}, pool: pool.New(to),
 		FirstEvent: func(time.Duration) {},
 	}
 }
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -26,7 +26,7 @@
 	// patienceFactor and patienceLeast tell how long a repeatable request waits for a
 	// first byte beyond the prediction before it goes elsewhere.
 	patienceFactor = 3
-	patienceLeast  = 400 * time.Millisecond
+	patienceLeast  = 600 * time.Millisecond
 	// comeBack is when callers are told to return if no server is known.
 	comeBack = 500 * time.Millisecond
 	// mostBody bounds a whole answer of a plain service.
@@ -62,9 +62,9 @@
 // Serve runs a request to its outcome. ctx ends when the caller leaves.
 func (rl *Relay) Serve(ctx context.Context, rq *Request, ex Exchange, sink Sink) {
 	rl.Counts.Received.Add(1)
-	rl.Meter.Offered(rq.Service, rq.Prompt)
 	if ok, after := rl.admit(time.Now(), rq); !ok {
 		rl.Counts.Limited.Add(1)
+		rl.logLimit(rq)
 		rl.refuse(rq, sink, fasthttp.StatusTooManyRequests, "the customer's limit is reached", after)
 		return
 	}
@@ -83,6 +83,16 @@
 	}
 }
 
+// logLimit logs what decided that a request is over its customer's limit.
+func (rl *Relay) logLimit(rq *Request) {
+	rl.mu.Lock()
+	vi := rl.pool.View(time.Now(), rq.Customer.ID)
+	rl.mu.Unlock()
+	rl.Log.Info("limit_reached", zap.String("request", string(rq.ID)), zap.String("customer", string(rq.Customer.ID)),
+		zap.Float64("size", rq.Size), zap.Float64("rate", vi.Rate), zap.Float64("burst", vi.Burst),
+		zap.Float64("level", vi.Level), zap.Float64("unseen", vi.Unseen))
+}
+
 func (rl *Relay) refuse(rq *Request, sink Sink, status int, reason string, after time.Duration) {
 	rl.Counts.NotRun.Add(1)
 	rl.Log.Info("request_refused", zap.String("request", string(rq.ID)), zap.String("route", rq.Route.Name),
@@ -133,6 +143,9 @@
 		})
 		return !hopeless
 	})
+	if ru.sends == 0 {
+		ru.rl.Meter.Offered(rq.Service, pi.Fresh)
+	}
 	switch {
 	case sent:
 		ru.rl.Log.Debug("server_chosen", zap.String("request", string(rq.ID)), zap.String("server", string(pi.Server.ID)),
@@ -242,7 +255,7 @@
 	outer := ctx
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if ru.rq.Route.Repeat != routes.Once {
+	if ru.mayRepeat() {
 		patience := max(patienceLeast, pi.First*patienceFactor)
 		tm := time.AfterFunc(patience, func() { cancel(fault.New(op, KindSilent, "no answer within %s", patience)) })
 		defer tm.Stop()
--- a/internal/node/config/entry.go
+++ b/internal/node/config/entry.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/scale"
 	"lycheepick/internal/rule/units"
 )
 
@@ -23,6 +24,8 @@
 	Limits   EntryLimits   `json:"limits"`
 	Timing   EntryTiming   `json:"timing"`
 	Log      Log           `json:"log"`
+	// Orders are the weights of orders of backend servers.
+	Orders scale.Policy `json:"orders"`
 }
 
 // EntryVM says where the node runs.
@@ -51,6 +54,16 @@
 // EntryLimits bound what the node uses.
 type EntryLimits struct {
 	MemoryMB int `json:"memory_mb"`
+	// All nodes together may admit a share of a customer's limit and a fixed amount
+	// beyond it in each window.
+	QuotaWindowS float64 `json:"quota_window_s"`
+	QuotaShare   float64 `json:"quota_share"`
+	QuotaFixed   float64 `json:"quota_fixed"`
+}
+
+// Window is the time over which customers' limits are counted.
+func (el EntryLimits) Window() time.Duration {
+	return time.Duration(el.QuotaWindowS * float64(time.Second))
 }
 
 // EntryTiming holds the times that the platform sets, in its own units.
--- a/internal/node/entry/duty.go
+++ b/internal/node/entry/duty.go
@@ -41,7 +41,6 @@
 	lease.Holder
 	Began  map[string]usage.Windows `json:"began,omitempty"`
 	Ledger usage.Ledger             `json:"ledger,omitempty"`
-	Orders []order                  `json:"orders,omitempty"`
 }
 
 type duty struct {
@@ -52,7 +51,9 @@
 	loaded  bool
 	held    bool
 	renewed time.Duration
-	orders  orders
+	// heard is when a peer last said that it holds the duty; the node's lock guards it.
+	heard  time.Time
+	orders orders
 }
 
 // bootTime is a clock that goes on while the VM is suspended.
@@ -68,6 +69,9 @@
 func (no *Node) serveDuties(ctx context.Context) {
 	up := true
 	for sleep(ctx, dutyEvery) {
+		if no.isDutySafe() {
+			continue
+		}
 		err := no.followDuty(ctx)
 		up = no.noteStore("duty", up, err)
 		if err != nil {
@@ -86,6 +90,15 @@
 	}
 }
 
+// isDutySafe tells whether a peer has lately said that it holds the duty, so that the
+// store need not be asked.
+func (no *Node) isDutySafe() bool {
+	du := &no.duty
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	return du.loaded && !du.lease.Holds() && time.Since(du.heard) < no.set.Timing.Lease()
+}
+
 // followDuty reads the records of the lease.
 func (no *Node) followDuty(ctx context.Context) error {
 	du := &no.duty
@@ -127,7 +140,6 @@
 	no.duty.mu.Lock()
 	no.duty.ledger.Merge(rec.Ledger)
 	no.duty.mu.Unlock()
-	no.duty.orders.take(rec.Orders)
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	for so, ws := range rec.Began {
@@ -150,7 +162,7 @@
 // writeDuty appends a record with more closed windows, if no one else has appended.
 func (no *Node) writeDuty(ctx context.Context, closing usage.Ledger) bool {
 	du := &no.duty
-	rec := dutyRecord{Holder: lease.Holder{Node: no.set.VM.ID, Life: no.life}, Ledger: usage.Ledger{}, Orders: du.orders.list()}
+	rec := dutyRecord{Holder: lease.Holder{Node: no.set.VM.ID, Life: no.life}, Ledger: usage.Ledger{}}
 	no.mu.Lock()
 	rec.Began = no.book.Sources()
 	no.mu.Unlock()
@@ -184,6 +196,7 @@
 		return
 	}
 	no.duty.held = held
+	no.holding.Store(held)
 	event := "duty_lost"
 	if held {
 		event = "duty_taken"
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -22,6 +22,7 @@
 	"lycheepick/internal/rule/clock"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/lease"
+	"lycheepick/internal/rule/pool"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/rule/usage"
 	"lycheepick/internal/state/routes"
@@ -85,6 +86,7 @@
 	storeAt atomic.Int64 // Steady nanosecond of the last answer of the store about servers.
 	listed  atomic.Bool  // The list of servers was read.
 	leaving atomic.Bool
+	holding atomic.Bool // This node holds the duties.
 
 	mu      sync.Mutex // Guards what follows.
 	servers *server.Book
@@ -113,7 +115,9 @@
 		book: usage.NewBook(set.Timing.UsageWindow()), clock: clock.New(),
 		offered: map[units.TargetID]pulse.Work{}, heard: map[units.VMID]*heardWork{},
 	}
-	no.relay = relay.New(log, set.VM.Zone, no)
+	no.relay = relay.New(log, set.VM.Zone, no, pool.Tolerance{
+		Window: set.Limits.Window(), Share: set.Limits.QuotaShare, Fixed: set.Limits.QuotaFixed,
+	})
 	no.relay.FirstEvent = func(du time.Duration) { no.first.Update(du.Microseconds()) }
 	handler := pf.Handler(func() *routes.Config {
 		if fo := no.config.Load(); fo != nil {
@@ -124,7 +128,7 @@
 	no.door = &door.Server{Handler: handler, Limits: no.limits}
 	no.duty = duty{
 		lease:  lease.New(lease.Holder{Node: set.VM.ID, Life: no.life}, lease.Timing{Lease: set.Timing.Lease(), Margin: leaseMargin}),
-		ledger: usage.Ledger{},
+		ledger: usage.Ledger{}, orders: newOrders(),
 	}
 	no.clock.Own(no.steady(), now)
 	no.registerMetrics()
@@ -271,6 +275,6 @@
 	no.offered[service] = wo
 }
 
-func (no *Node) source() string {
-	return usage.Source{Node: no.set.VM.ID, Life: no.life}.Key()
-}
+func (no *Node) source() string { return sourceOf(no.set.VM.ID, no.life) }
+
+func sourceOf(node units.VMID, life int64) string { return usage.Source{Node: node, Life: life}.Key() }
--- a/internal/node/entry/order.go
+++ b/internal/node/entry/order.go
@@ -2,22 +2,119 @@
 
 import (
 	"context"
+	"time"
 
+	"go.uber.org/zap"
+
+	"lycheepick/internal/rule/scale"
 	"lycheepick/internal/rule/units"
+	"lycheepick/internal/state/routes"
+)
+
+const (
+	// repeatOrder is the time after which an order that is not met is given once more.
+	repeatOrder = 2 * time.Second
+	// confirmOrder is the time after which an order is repeated in any case, since an
+	// earlier holder's call may have arrived late.
+	confirmOrder = 10 * time.Second
 )
 
-// order is the number of servers last ordered for a service in a zone.
-type order struct {
-	Service units.TargetID `json:"service"`
-	Zone    units.ZoneID   `json:"zone"`
-	Spot    bool           `json:"spot,omitempty"`
-	Count   int            `json:"count"`
+// orderKey names what is ordered together.
+type orderKey struct {
+	service units.TargetID
+	zone    units.ZoneID
+	spot    bool
 }
 
-type orders struct{ last []order }
+// given is the last order that the platform accepted or refused.
+type given struct {
+	count    int
+	at       time.Time
+	accepted bool
+}
 
-func (or *orders) take(list []order) { or.last = list }
+type orders struct {
+	demand map[units.TargetID]*scale.Demand
+	given  map[orderKey]given
+}
 
-func (or *orders) list() []order { return or.last }
+func newOrders() orders {
+	return orders{demand: map[units.TargetID]*scale.Demand{}, given: map[orderKey]given{}}
+}
 
-func (no *Node) orderServers(context.Context) {}
+// orderServers gives the orders that are due. The demand is followed by every node, so
+// that a successor knows it at once.
+func (no *Node) orderServers(ctx context.Context) {
+	fo := no.config.Load()
+	if fo == nil {
+		return
+	}
+	for idx := range fo.Services {
+		se := &fo.Services[idx]
+		if se.Scaling == nil {
+			continue
+		}
+		rate := no.demandOf(se.ID)
+		if _, held := no.duty.lease.Held(bootTime()); held {
+			no.orderService(ctx, se, rate)
+		}
+	}
+}
+
+// demandOf returns the demand for a service over all nodes.
+func (no *Node) demandOf(id units.TargetID) units.TokensPerSecond {
+	de := no.duty.orders.demand[id]
+	if de == nil {
+		de = scale.NewDemand()
+		no.duty.orders.demand[id] = de
+	}
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	de.Report(no.source(), no.offered[id].Prompt)
+	for node, he := range no.heard {
+		de.Report(sourceOf(node, he.life), he.offered[id].Prompt)
+	}
+	return de.Rate(time.Now())
+}
+
+func (no *Node) orderService(ctx context.Context, se *routes.Service, rate units.TokensPerSecond) {
+	have := map[orderKey]int{}
+	now := time.Now()
+	for _, lo := range no.relay.Servers(now, se.ID) {
+		if !lo.Draining {
+			have[orderKey{service: se.ID, zone: lo.Zone, spot: lo.Spot}]++
+		}
+	}
+	for _, or := range scale.Plan(no.set.Orders, se.Scaling, rate) {
+		key := orderKey{service: se.ID, zone: or.Zone, spot: or.Spot}
+		last, known := no.duty.orders.given[key]
+		age := now.Sub(last.at)
+		same := known && last.accepted && last.count == or.Count
+		if same && (age < repeatOrder || (have[key] == or.Count && age < confirmOrder)) {
+			continue
+		}
+		if known && !last.accepted && age < repeatOrder {
+			continue
+		}
+		if !known && or.Count == 0 && have[key] == 0 {
+			continue
+		}
+		if !no.give(ctx, key, or.Count, have[key], rate) {
+			return
+		}
+	}
+}
+
+// give gives one order. It returns false if this node no longer holds the duty.
+func (no *Node) give(ctx context.Context, key orderKey, count, have int, rate units.TokensPerSecond) bool {
+	fence, held := no.duty.lease.Held(bootTime())
+	if !held {
+		return false
+	}
+	err := no.pf.Cloud.Scale(ctx, fence, key.service, key.zone, key.spot, count)
+	no.duty.orders.given[key] = given{count: count, at: time.Now(), accepted: err == nil}
+	no.log.Info("servers_ordered", zap.String("service", string(key.service)), zap.String("zone", string(key.zone)),
+		zap.Bool("spot", key.spot), zap.Int("count", count), zap.Int("have", have), zap.Float64("demand", float64(rate)),
+		zap.Int64("fence", int64(fence)), zap.Bool("accepted", err == nil), zap.Error(err))
+	return true
+}
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -12,7 +12,6 @@
 	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/plat/stream"
 	"lycheepick/internal/rule/units"
-	"lycheepick/internal/rule/usage"
 )
 
 // peer is a node that this one exchanges reports with.
@@ -197,7 +196,7 @@
 	loads, admitted := no.relay.Own()
 	out := pulse.Report{
 		Peer: pulse.Peer{Node: no.set.VM.ID, Address: no.set.Listen.Peers},
-		Life: no.life, Wall: time.Now().UnixNano(), Loads: loads, Admitted: admitted,
+		Life: no.life, Wall: time.Now().UnixNano(), Holding: no.holding.Load(), Loads: loads, Admitted: admitted,
 	}
 	if fo := no.config.Load(); fo != nil {
 		out.Config = fo.Version
@@ -233,8 +232,11 @@
 		no.log.Info("peer_back", zap.String("peer", string(re.Node)))
 	}
 	pe.heard, pe.address = now, re.Address
+	if re.Holding {
+		no.duty.heard = now
+	}
 	no.clock.Peer(re.Node, no.steady(), time.Unix(0, re.Wall))
-	no.book.Merge(usage.Source{Node: re.Node, Life: re.Life}.Key(), re.Began)
+	no.book.Merge(sourceOf(re.Node, re.Life), re.Began)
 	no.heard[re.Node] = &heardWork{life: re.Life, offered: re.Offered, at: now}
 	for _, other := range re.Peers {
 		no.meet(other)
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -52,6 +52,8 @@
 	Life int64 `json:"life"`
 	// Wall is the node's own time of day in Unix nanoseconds.
 	Wall int64 `json:"wall"`
+	// Holding is set if the node holds the duties.
+	Holding bool `json:"holding,omitempty"`
 	// Config is the version in force at the node.
 	Config units.Version `json:"config"`
 	// Servers is the offset up to which the node has folded the list of servers.
--- a/internal/rule/pool/pool.go
+++ b/internal/rule/pool/pool.go
@@ -20,10 +20,18 @@
 	Rate, Burst float64
 }
 
+// Tolerance is what the platform lets all nodes together admit beyond a limit: in any
+// window, a share of what the limit allows there, and a fixed amount.
+type Tolerance struct {
+	Window time.Duration
+	Share  float64
+	Fixed  float64
+}
+
 const (
-	// burstShare is the part of the burst that is given out; the rest covers requests
-	// that peers admit before their reports arrive.
-	burstShare = 0.7
+	// toleranceShare is the part of the tolerance that is given out; the rest covers
+	// requests that peers admit before their reports arrive.
+	toleranceShare = 0.5
 	// startShare is the part of the burst that a new node believes to be left: its
 	// predecessor and its peers may just have used the rest.
 	startShare = 0.25
@@ -43,10 +51,14 @@
 
 type bucket struct {
 	limit Limit
+	// most is the most that the bucket holds.
+	most  float64
 	level float64
 	last  time.Time
 	used  float64
-	peers map[units.VMID]*usage
+	// promised are the units of refused requests that were told when to come back.
+	promised float64
+	peers    map[units.VMID]*usage
 }
 
 type usage struct {
@@ -62,13 +74,20 @@
 
 // Pool holds the buckets of all customers.
 type Pool struct {
-	buckets map[units.CustomerID]*bucket
-	peers   map[units.VMID]*peer
+	tolerance Tolerance
+	buckets   map[units.CustomerID]*bucket
+	peers     map[units.VMID]*peer
 }
 
 // New returns a pool without limits.
-func New() *Pool {
-	return &Pool{buckets: map[units.CustomerID]*bucket{}, peers: map[units.VMID]*peer{}}
+func New(to Tolerance) *Pool {
+	return &Pool{tolerance: to, buckets: map[units.CustomerID]*bucket{}, peers: map[units.VMID]*peer{}}
+}
+
+// capacity returns the most that a bucket holds.
+func (to Tolerance) capacity(li Limit) float64 {
+	extra := (li.Rate*to.Window.Seconds()+li.Burst)*to.Share + to.Fixed
+	return li.Burst + extra*toleranceShare
 }
 
 // SetLimits replaces the limits. Customers without one are not limited.
@@ -76,12 +95,14 @@
 	for id, li := range limits {
 		bu := po.buckets[id]
 		if bu == nil {
-			po.buckets[id] = &bucket{limit: li, level: li.Burst * startShare, last: now, peers: map[units.VMID]*usage{}}
+			po.buckets[id] = &bucket{
+				limit: li, most: po.tolerance.capacity(li), level: li.Burst * startShare, last: now, peers: map[units.VMID]*usage{},
+			}
 			continue
 		}
 		bu.fill(now)
-		bu.limit = li
-		bu.level = min(bu.level, bu.capacity())
+		bu.limit, bu.most = li, po.tolerance.capacity(li)
+		bu.level = min(bu.level, bu.most)
 	}
 	for id := range po.buckets {
 		if _, ok := limits[id]; !ok {
@@ -90,11 +111,11 @@
 	}
 }
 
-func (bu *bucket) capacity() float64 { return bu.limit.Burst * burstShare }
-
 func (bu *bucket) fill(now time.Time) {
 	if gap := now.Sub(bu.last); gap > 0 {
-		bu.level = min(bu.capacity(), bu.level+bu.limit.Rate*gap.Seconds())
+		gained := bu.limit.Rate * gap.Seconds()
+		bu.level = min(bu.most, bu.level+gained)
+		bu.promised = max(0, bu.promised-gained)
 		bu.last = now
 	}
 }
@@ -107,10 +128,12 @@
 	}
 	bu.fill(now)
 	// A single request may be larger than the whole bucket.
-	need := min(amount, bu.capacity())
+	need := min(amount, bu.most)
 	short := need - (bu.level - bu.unseen(now, po.peers))
 	if short > 0 {
-		wait := time.Duration(short / max(bu.limit.Rate, 1) * float64(time.Second))
+		// Callers come back one after the other, not all when the first one fits.
+		wait := time.Duration((short + bu.promised) / max(bu.limit.Rate, 1) * float64(time.Second))
+		bu.promised += amount
 		return false, min(max(wait, leastRetry), mostRetry)
 	}
 	bu.level -= amount
@@ -118,10 +141,28 @@
 	return true, 0
 }
 
+// View is what this node believes of one customer's bucket.
+type View struct {
+	Limit
+	// Level is what is left, Unseen what peers are taken to have used of it since their
+	// last reports.
+	Level, Unseen float64
+}
+
+// View returns the view of a customer's bucket, for logs.
+func (po *Pool) View(now time.Time, cu units.CustomerID) View {
+	bu := po.buckets[cu]
+	if bu == nil {
+		return View{}
+	}
+	bu.fill(now)
+	return View{Limit: bu.limit, Level: bu.level, Unseen: bu.unseen(now, po.peers)}
+}
+
 // Refund gives back what a request took that did not run.
 func (po *Pool) Refund(cu units.CustomerID, amount float64) {
 	if bu := po.buckets[cu]; bu != nil {
-		bu.level = min(bu.capacity(), bu.level+amount)
+		bu.level = min(bu.most, bu.level+amount)
 		bu.used -= amount
 	}
 }
