--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -133,11 +133,34 @@
 	// FirstEvent is told the time to the first byte of each answer.
 	FirstEvent func(time.Duration)
 
+	leaving atomic.Pointer[leave]
+
 	mu     sync.Mutex
 	fleets map[units.TargetID]*service
 	pool   *pool.Pool
 }
 
+// leave tells until when a leaving node takes new requests.
+type leave struct{ streams, other time.Time }
+
+// Leave makes the relay refuse new streams, and other requests, from some time after now
+// on.
+func (rl *Relay) Leave(now time.Time, streams, other time.Duration) {
+	rl.leaving.Store(&leave{streams: now.Add(streams), other: now.Add(other)})
+}
+
+// isTooLate tells whether the node leaves before a request could end.
+func (rl *Relay) isTooLate(rq *Request) bool {
+	le := rl.leaving.Load()
+	if le == nil {
+		return false
+	}
+	if rq.Route.Stream {
+		return rq.Arrived.After(le.streams)
+	}
+	return rq.Arrived.After(le.other)
+}
+
 type service struct {
 	fleet  *place.Fleet
 	budget *retry.Budget
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -29,6 +29,8 @@
 	patienceLeast  = 600 * time.Millisecond
 	// comeBack is when callers are told to return if no server is known.
 	comeBack = 500 * time.Millisecond
+	// leaveRetry is when callers are told to return to another node.
+	leaveRetry = 10 * time.Millisecond
 	// mostBody bounds a whole answer of a plain service.
 	mostBody = 16 << 20
 	// partBytes is the size of one read of a stream.
@@ -62,6 +64,10 @@
 // Serve runs a request to its outcome. ctx ends when the caller leaves.
 func (rl *Relay) Serve(ctx context.Context, rq *Request, ex Exchange, sink Sink) {
 	rl.Counts.Received.Add(1)
+	if rl.isTooLate(rq) {
+		rl.refuse(rq, sink, fasthttp.StatusServiceUnavailable, "this node is leaving", leaveRetry)
+		return
+	}
 	if ok, after := rl.admit(time.Now(), rq); !ok {
 		rl.Counts.Limited.Add(1)
 		rl.logLimit(rq)
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -210,7 +210,12 @@
 
 const (
 	// killMargin is the time before the platform's kill at which a leaving node exits.
-	killMargin = 500 * time.Millisecond
+	killMargin = 300 * time.Millisecond
+	// lateStreams and lateOther are the times after the signal to stop from which on new
+	// streams, and other requests, could not end before the exit: they are refused, so that
+	// their callers go to another node at once.
+	lateStreams = 3 * time.Second
+	lateOther   = 6 * time.Second
 	// settleTime is how long new connections still arrive after the balancer was told.
 	settleTime = 3 * time.Second
 )
@@ -218,6 +223,7 @@
 // leave lets the balancer know and requests in progress end.
 func (no *Node) leave(ctx context.Context) {
 	no.leaving.Store(true)
+	no.relay.Leave(time.Now(), lateStreams, lateOther)
 	no.log.Info("node_leaving")
 	ctx, cancel := context.WithTimeout(ctx, no.set.Timing.Grace()-killMargin)
 	defer cancel()
--- a/internal/node/entry/order.go
+++ b/internal/node/entry/order.go
@@ -17,6 +17,10 @@
 	// confirmOrder is the time after which an order is repeated in any case, since an
 	// earlier holder's call may have arrived late.
 	confirmOrder = 10 * time.Second
+	// dryTime is how long a refusal of spot servers counts.
+	dryTime = 3 * time.Second
+	// priorTime is the time of traffic after which the demand is taken as seen.
+	priorTime = 4 * time.Second
 )
 
 // orderKey names what is ordered together.
@@ -36,6 +40,8 @@
 type orders struct {
 	demand map[units.TargetID]*scale.Demand
 	given  map[orderKey]given
+	// traffic is when the first work was seen.
+	traffic time.Time
 }
 
 func newOrders() orders {
@@ -54,7 +60,7 @@
 		if se.Scaling == nil {
 			continue
 		}
-		rate := no.demandOf(se.ID)
+		rate := max(no.demandOf(se.ID), no.priorDemand(fo.Config))
 		if _, held := no.duty.lease.Held(bootTime()); held {
 			no.orderService(ctx, se, rate)
 		}
@@ -77,6 +83,51 @@
 	return de.Rate(time.Now())
 }
 
+// priorDemand stands in for the demand until enough of it has been seen: customers use a
+// part of their limits.
+func (no *Node) priorDemand(co *routes.Config) units.TokensPerSecond {
+	od := &no.duty.orders
+	if od.traffic.IsZero() && no.sawTraffic() {
+		od.traffic = time.Now()
+	}
+	if !od.traffic.IsZero() && time.Since(od.traffic) > priorTime {
+		return 0
+	}
+	total := 0.0
+	for idx := range co.Customers {
+		if co.Customers[idx].ByTokens {
+			total += co.Customers[idx].Rate
+		}
+	}
+	return units.TokensPerSecond(total * no.set.Orders.PriorShare)
+}
+
+// sawTraffic tells whether any node was offered work.
+func (no *Node) sawTraffic() bool {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	if len(no.offered) > 0 {
+		return true
+	}
+	for _, he := range no.heard {
+		if len(he.offered) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// dryZones returns the zones where spot servers were refused lately.
+func (no *Node) dryZones(id units.TargetID, now time.Time) map[units.ZoneID]bool {
+	out := map[units.ZoneID]bool{}
+	for key, gi := range no.duty.orders.given {
+		if key.service == id && key.spot && !gi.accepted && now.Sub(gi.at) < dryTime {
+			out[key.zone] = true
+		}
+	}
+	return out
+}
+
 func (no *Node) orderService(ctx context.Context, se *routes.Service, rate units.TokensPerSecond) {
 	have := map[orderKey]int{}
 	now := time.Now()
@@ -85,7 +136,7 @@
 			have[orderKey{service: se.ID, zone: lo.Zone, spot: lo.Spot}]++
 		}
 	}
-	for _, or := range scale.Plan(no.set.Orders, se.Scaling, rate) {
+	for _, or := range scale.Plan(no.set.Orders, se.Scaling, rate, no.dryZones(se.ID, now)) {
 		key := orderKey{service: se.ID, zone: or.Zone, spot: or.Spot}
 		last, known := no.duty.orders.given[key]
 		age := now.Sub(last.at)
--- a/internal/rule/scale/scale.go
+++ b/internal/rule/scale/scale.go
@@ -26,6 +26,12 @@
 	// LeastBase and LeastSpot bound the orders of a service from below.
 	LeastBase int `json:"least_base"`
 	LeastSpot int `json:"least_spot"`
+	// PriorShare is the part of the customers' limits that is taken as the demand until
+	// enough of it has been seen.
+	PriorShare float64 `json:"prior_share"`
+	// Substitute is the number of servers on demand that stand in for each spot server
+	// that is not to be had.
+	Substitute float64 `json:"substitute"`
 }
 
 // Order is a number of servers of one kind in one zone.
@@ -36,14 +42,17 @@
 }
 
 // Plan returns the orders for a service, by zone, on demand before spot. Zones are those
-// with a price.
-func Plan(po Policy, sc *routes.Scaling, demand units.TokensPerSecond) []Order {
+// with a price; dry are those where no spot server is to be had at present.
+func Plan(po Policy, sc *routes.Scaling, demand units.TokensPerSecond, dry map[units.ZoneID]bool) []Order {
 	zones := byPrice(sc)
 	if len(zones) == 0 {
 		return nil
 	}
 	base := max(po.LeastBase, ceil(demand, po.BaseRate), sc.Min*len(zones))
 	full := max(base+po.LeastSpot, ceil(demand, po.FullRate))
+	// What the dry zones can't give is made up for in part.
+	missing := float64(full-base) * float64(len(dry)) / float64(len(zones))
+	base += int(math.Round(missing * po.Substitute))
 	room := map[units.ZoneID]int{}
 	for _, zo := range zones {
 		room[zo] = sc.Max
