--- a/internal/node/entry/duty.go
+++ b/internal/node/entry/duty.go
@@ -41,6 +41,8 @@
 	lease.Holder
 	Began  map[string]usage.Windows `json:"began,omitempty"`
 	Ledger usage.Ledger             `json:"ledger,omitempty"`
+	// Demand is the demand for each service that orders were based on.
+	Demand map[units.TargetID]units.TokensPerSecond `json:"demand,omitempty"`
 }
 
 type duty struct {
@@ -72,10 +74,12 @@
 		if no.isDutySafe() {
 			continue
 		}
-		err := no.followDuty(ctx)
-		up = no.noteStore("duty", up, err)
-		if err != nil {
-			continue
+		if _, held := no.duty.lease.Held(bootTime()); !held {
+			err := no.followDuty(ctx)
+			up = no.noteStore("duty", up, err)
+			if err != nil {
+				continue
+			}
 		}
 		if no.leaving.Load() || no.steady() < startWait {
 			continue
@@ -137,6 +141,7 @@
 		return
 	}
 	no.duty.lease.Read(bootTime(), it.Offset, rec.Holder)
+	no.duty.orders.take(rec.Demand)
 	no.duty.mu.Lock()
 	no.duty.ledger.Merge(rec.Ledger)
 	no.duty.mu.Unlock()
@@ -162,7 +167,7 @@
 // writeDuty appends a record with more closed windows, if no one else has appended.
 func (no *Node) writeDuty(ctx context.Context, closing usage.Ledger) bool {
 	du := &no.duty
-	rec := dutyRecord{Holder: lease.Holder{Node: no.set.VM.ID, Life: no.life}, Ledger: usage.Ledger{}}
+	rec := dutyRecord{Holder: lease.Holder{Node: no.set.VM.ID, Life: no.life}, Ledger: usage.Ledger{}, Demand: du.orders.rates()}
 	no.mu.Lock()
 	rec.Began = no.book.Sources()
 	no.mu.Unlock()
@@ -245,7 +250,7 @@
 	du.mu.Unlock()
 	err := no.pf.Cloud.Usage(ctx, fence, int64(wi), cl.Counts)
 	no.log.Info("usage_reported", zap.Int64("window", int64(wi)), zap.Int64("fence", int64(fence)),
-		zap.Any("counts", cl.Counts), zap.Bool("accepted", err == nil), zap.Error(err))
+		zap.String("counts", cl.Counts.String()), zap.Bool("accepted", err == nil), zap.Error(err))
 	if err != nil {
 		return
 	}
--- a/internal/node/entry/follow.go
+++ b/internal/node/entry/follow.go
@@ -14,9 +14,8 @@
 const (
 	// configWait is how long a read of the configuration's stream waits for a record.
 	configWait = 10 * time.Second
-	// serversWait is the same for the list of servers. A longer silence of the store
-	// tells that it is lost, so that peers are asked.
-	serversWait = 1200 * time.Millisecond
+	// serversWait is the same for the list of servers.
+	serversWait = 5 * time.Second
 	// serversPause gathers the records of several servers in one read.
 	serversPause = 100 * time.Millisecond
 	// retryPause is the pause after a call to the store that failed.
--- a/internal/node/entry/order.go
+++ b/internal/node/entry/order.go
@@ -42,12 +42,36 @@
 	given  map[orderKey]given
 	// traffic is when the first work was seen.
 	traffic time.Time
+	// known is set if an earlier holder has told the demand.
+	known bool
 }
 
 func newOrders() orders {
 	return orders{demand: map[units.TargetID]*scale.Demand{}, given: map[orderKey]given{}}
 }
 
+// rates returns the demands, for the record of the duty.
+func (od *orders) rates() map[units.TargetID]units.TokensPerSecond {
+	out := make(map[units.TargetID]units.TokensPerSecond, len(od.demand))
+	for id, de := range od.demand {
+		if de.Last() > 0 {
+			out[id] = de.Last()
+		}
+	}
+	return out
+}
+
+// take takes over the demands that a holder has written.
+func (od *orders) take(rates map[units.TargetID]units.TokensPerSecond) {
+	for id, rate := range rates {
+		if od.demand[id] == nil {
+			od.demand[id] = scale.NewDemand()
+		}
+		od.demand[id].Begin(rate)
+		od.known = true
+	}
+}
+
 // orderServers gives the orders that are due. The demand is followed by every node, so
 // that a successor knows it at once.
 func (no *Node) orderServers(ctx context.Context) {
@@ -87,6 +111,9 @@
 // part of their limits.
 func (no *Node) priorDemand(co *routes.Config) units.TokensPerSecond {
 	od := &no.duty.orders
+	if od.known {
+		return 0
+	}
 	if od.traffic.IsZero() && no.sawTraffic() {
 		od.traffic = time.Now()
 	}
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -44,9 +44,9 @@
 	// which it is forgotten.
 	lostTime   = 2500 * time.Millisecond
 	forgetTime = 40 * time.Second
-	// staleTime is the silence of the store after which peers are asked for the list of
-	// servers.
-	staleTime = 1900 * time.Millisecond
+	// aheadTime is how long a peer may have read more of the list of servers than this
+	// node before it is asked for the rest: the store then serves it and not us.
+	aheadTime = 250 * time.Millisecond
 	// joinRetry is the pause between two tries to register in the store.
 	joinRetry = time.Second
 )
@@ -156,7 +156,7 @@
 		}
 	}
 	no.mu.Unlock()
-	qu := &pulse.Question{Report: no.report(), WantServers: no.isStale()}
+	qu := &pulse.Question{Report: no.report(), WantServers: no.isBehind()}
 	re, err := client.Exchange(ctx, addr, qu)
 	if err != nil {
 		no.log.Debug("exchange_failed", zap.String("peer", addr), zap.Error(err))
@@ -166,24 +166,37 @@
 	if len(re.RawConfig) > 0 {
 		no.takeConfig(re.RawConfig, "peer "+string(re.Node))
 	}
-	if len(re.Records) > 0 {
-		no.takeServers(re)
+	if qu.WantServers {
+		no.takeServers(re, qu.Servers)
 	}
 }
 
-// isStale tells whether the store has been silent about servers.
-func (no *Node) isStale() bool {
-	return no.steady()-time.Duration(no.storeAt.Load()) > staleTime
+// isBehind tells whether a peer has read more of the list of servers for a while.
+func (no *Node) isBehind() bool {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	if no.servers.Next() >= no.ahead {
+		no.behind = time.Time{}
+		return false
+	}
+	if no.behind.IsZero() {
+		no.behind = time.Now()
+	}
+	return time.Since(no.behind) >= aheadTime
 }
 
 // takeServers folds the records that a peer has read from the store.
-func (no *Node) takeServers(re *pulse.Reply) {
+func (no *Node) takeServers(re *pulse.Reply, from units.Offset) {
+	if re.Servers <= from {
+		return
+	}
 	no.mu.Lock()
 	now := time.Now()
 	changed := false
 	for _, it := range re.Records {
 		changed = no.foldServer(now, it) || changed
 	}
+	no.servers.Skip(re.Servers)
 	no.mu.Unlock()
 	no.listed.Store(true)
 	if changed {
@@ -232,6 +245,7 @@
 		no.log.Info("peer_back", zap.String("peer", string(re.Node)))
 	}
 	pe.heard, pe.address = now, re.Address
+	no.ahead = max(no.ahead, re.Servers)
 	if re.Holding {
 		no.duty.heard = now
 	}
--- a/internal/rule/pool/pool.go
+++ b/internal/rule/pool/pool.go
@@ -31,7 +31,7 @@
 const (
 	// toleranceShare is the part of the tolerance that is given out; the rest covers
 	// requests that peers admit before their reports arrive.
-	toleranceShare = 0.5
+	toleranceShare = 0.25
 	// startShare is the part of the burst that a new node believes to be left: its
 	// predecessor and its peers may just have used the rest.
 	startShare = 0.25
--- a/internal/rule/scale/demand.go
+++ b/internal/rule/scale/demand.go
@@ -36,6 +36,16 @@
 	de.totals[source] = total
 }
 
+// Last returns the demand as it was last computed.
+func (de *Demand) Last() units.TokensPerSecond { return units.TokensPerSecond(de.rate) }
+
+// Begin sets the demand that an earlier holder knew, unless more of it was seen here.
+func (de *Demand) Begin(rate units.TokensPerSecond) {
+	if de.rate == 0 {
+		de.rate = float64(rate)
+	}
+}
+
 // Rate returns the smoothed demand at now.
 func (de *Demand) Rate(now time.Time) units.TokensPerSecond {
 	if de.last.IsZero() {
--- a/internal/rule/usage/usage.go
+++ b/internal/rule/usage/usage.go
@@ -11,6 +11,7 @@
 import (
 	"sort"
 	"strconv"
+	"strings"
 	"time"
 
 	"lycheepick/internal/rule/units"
@@ -22,6 +23,16 @@
 // Counts are requests by customer.
 type Counts map[units.CustomerID]int64
 
+// String returns the counts as customer:requests, in order, for logs.
+func (co Counts) String() string {
+	names := make([]string, 0, len(co))
+	for cu, num := range co {
+		names = append(names, string(cu)+":"+strconv.FormatInt(num, 10))
+	}
+	sort.Strings(names)
+	return strings.Join(names, ",")
+}
+
 // Windows are counts by window.
 type Windows map[Window]Counts
 
