--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -289,7 +289,9 @@
 type picked struct {
 	place.Choice
 	ticket place.Ticket
-	age    time.Duration
+	// age is that of the list of servers, sent when the request was dispatched.
+	age  time.Duration
+	sent time.Time
 }
 
 // choose picks a server; send tells from the prediction whether to go there.
@@ -302,7 +304,7 @@
 	if !found || !send(&pi.Choice) {
 		return pi, found, false
 	}
-	pi.ticket = se.fleet.Send(now, ask, &pi.Choice)
+	pi.ticket, pi.sent = se.fleet.Send(now, ask, &pi.Choice), now
 	return pi, true, true
 }
 
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -323,6 +323,8 @@
 	calm(ctx)
 	ru.rl.heard(ru.rq.Service, pi)
 	ru.began = true
+	ru.rl.Log.Debug("answer_began", zap.String("request", string(ru.rq.ID)), zap.String("server", string(pi.Server.ID)),
+		zap.Duration("predicted", pi.First), zap.Duration("took", time.Since(pi.sent)), zap.Int64("fresh_tokens", int64(pi.Fresh)))
 	if ru.rq.Customer != nil {
 		ru.rl.Meter.Began(ru.rq.Customer.ID, began)
 	}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -93,8 +93,8 @@
 	records map[string]stream.Keyed
 	// ahead is the offset up to which some peer has read the list of servers, and behind
 	// since when this node has read less.
-	ahead  units.Offset
-	behind time.Time
+	ahead   units.Offset
+	behind  time.Time
 	peers   map[units.VMID]*peer
 	book    *usage.Book
 	clock   *clock.Clock
--- a/internal/rule/scale/demand.go
+++ b/internal/rule/scale/demand.go
@@ -50,7 +50,7 @@
 func (de *Demand) Rate(now time.Time) units.TokensPerSecond {
 	if de.last.IsZero() {
 		de.last, de.gained = now, 0
-		return 0
+		return units.TokensPerSecond(de.rate)
 	}
 	gap := now.Sub(de.last)
 	if gap <= 0 {
