--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -222,24 +222,27 @@
 }
 
 // Peer takes in what a peer reports of its own work and admissions.
-func (rl *Relay) Peer(now time.Time, node units.VMID, life int64, loads map[units.VMID]place.Load, used pool.Totals) {
+func (rl *Relay) Peer(now time.Time, node units.VMID, life int64, loads map[units.VMID]place.Load, sent map[units.VMID][]place.PartID, used pool.Totals) {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	for _, se := range rl.fleets {
 		se.fleet.Peer(now, node, loads)
+		se.fleet.Holds(now, sent)
 	}
 	rl.pool.Report(now, node, life, used)
 }
 
-// Own returns this node's own work and admissions.
-func (rl *Relay) Own() (map[units.VMID]place.Load, pool.Totals) {
+// Own returns this node's own work, the parts of prompts that it has lately sent to
+// servers, and its admissions.
+func (rl *Relay) Own(now time.Time) (loads map[units.VMID]place.Load, sent map[units.VMID][]place.PartID, used pool.Totals) {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	loads := map[units.VMID]place.Load{}
+	loads, sent = map[units.VMID]place.Load{}, map[units.VMID][]place.PartID{}
 	for _, se := range rl.fleets {
 		se.fleet.Own(loads)
+		se.fleet.Sent(now, sent)
 	}
-	return loads, rl.pool.Used()
+	return loads, sent, rl.pool.Used()
 }
 
 // Servers returns the servers of a service with the work of all nodes there.
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -34,7 +34,7 @@
 	nodesStream stream.Name = "keyed.nodes"
 	// exchangeEvery is the time between two rounds of exchanges. Both sides learn from
 	// one, so a node hears of each peer twice in this time.
-	exchangeEvery = 400 * time.Millisecond
+	exchangeEvery = 300 * time.Millisecond
 	// roundPeers bounds the peers asked in a round, so that the cost of a node does not
 	// grow with the fleet.
 	roundPeers = 8
@@ -206,10 +206,10 @@
 
 // report says what this node knows of itself.
 func (no *Node) report() pulse.Report {
-	loads, admitted := no.relay.Own()
+	loads, sent, admitted := no.relay.Own(time.Now())
 	out := pulse.Report{
 		Peer: pulse.Peer{Node: no.set.VM.ID, Address: no.set.Listen.Peers},
-		Life: no.life, Wall: time.Now().UnixNano(), Holding: no.holding.Load(), Loads: loads, Admitted: admitted,
+		Life: no.life, Wall: time.Now().UnixNano(), Holding: no.holding.Load(), Loads: loads, Sent: sent, Admitted: admitted,
 	}
 	if fo := no.config.Load(); fo != nil {
 		out.Config = fo.Version
@@ -233,7 +233,7 @@
 // takeReport takes in what a peer says of itself.
 func (no *Node) takeReport(re *pulse.Report) {
 	now := time.Now()
-	no.relay.Peer(now, re.Node, re.Life, re.Loads, re.Admitted)
+	no.relay.Peer(now, re.Node, re.Life, re.Loads, re.Sent, re.Admitted)
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	pe := no.meet(re.Peer)
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -60,6 +60,8 @@
 	Servers units.Offset `json:"servers"`
 	// Loads are the node's own requests at each server.
 	Loads map[units.VMID]place.Load `json:"loads,omitempty"`
+	// Sent are the shared parts of prompts that the node has lately sent to each server.
+	Sent map[units.VMID][]place.PartID `json:"sent,omitempty"`
 	// Admitted are the units that the node has admitted since its start.
 	Admitted pool.Totals `json:"admitted,omitempty"`
 	// Began are the requests that began to run, by window.
--- a/internal/rule/place/place.go
+++ b/internal/rule/place/place.go
@@ -21,8 +21,9 @@
 	"lycheepick/internal/state/server"
 )
 
-// PartID names a part of a prompt that requests may share.
-type PartID uint64
+// PartID names a part of a prompt that requests may share. It is a hash, short because
+// nodes tell each other which parts they have sent where.
+type PartID uint32
 
 // Part is a leading part of a prompt.
 type Part struct {
@@ -78,6 +79,9 @@
 	missWeight = 0.7
 	// zoneTime is the surcharge for a server in another zone, whose bytes are priced.
 	zoneTime = 3 * time.Millisecond
+	// homeTime is the surcharge for a server that is not the one on which all nodes agree
+	// for a prompt, so that nodes that read the same part at once read it there.
+	homeTime = 25 * time.Millisecond
 	// errorTime is the surcharge for a server all of whose answers are failures.
 	errorTime = 2 * time.Second
 	// errorWeight is the weight of one answer in the smoothed share of failures.
@@ -91,6 +95,9 @@
 	peerTime = 2 * time.Second
 	// knownParts bounds the parts remembered for a server.
 	knownParts = 2048
+	// tellTime is how long peers are told of a part that was sent to a server. It covers
+	// two exchanges.
+	tellTime = 700 * time.Millisecond
 )
 
 type replica struct {
@@ -126,6 +133,14 @@
 	replicas []*replica
 	byID     map[units.VMID]*replica
 	last     Ticket
+	recent   []sending
+}
+
+// sending is a part that this node has sent to a server.
+type sending struct {
+	at     time.Time
+	server units.VMID
+	part   PartID
 }
 
 // NewFleet returns a fleet without servers.
@@ -170,6 +185,34 @@
 	}
 }
 
+// Sent returns the shared parts that this node has lately sent to each server.
+func (fl *Fleet) Sent(now time.Time, out map[units.VMID][]PartID) {
+	for len(fl.recent) > 0 && now.Sub(fl.recent[0].at) > tellTime {
+		fl.recent = fl.recent[1:]
+	}
+	for _, se := range fl.recent {
+		out[se.server] = append(out[se.server], se.part)
+	}
+}
+
+// Holds notes parts that a peer has sent to servers.
+func (fl *Fleet) Holds(now time.Time, sent map[units.VMID][]PartID) {
+	for id, parts := range sent {
+		if re := fl.byID[id]; re != nil {
+			re.hold(now, parts)
+		}
+	}
+}
+
+func (re *replica) hold(now time.Time, parts []PartID) {
+	if len(re.parts) > knownParts {
+		re.parts = map[PartID]time.Time{}
+	}
+	for _, pa := range parts {
+		re.parts[pa] = now
+	}
+}
+
 // total adds up the work of all nodes at a server. A peer's unread tokens shrink with the
 // age of its report.
 func (fl *Fleet) total(now time.Time, re *replica) Load {
@@ -203,11 +246,14 @@
 		if ask.avoids(re.ID) {
 			continue
 		}
-		first, fresh := fl.predict(now, re, lo, ask, re == home)
+		first, fresh := fl.predict(now, re, lo, ask)
 		score := first + fl.readTime(fresh, missWeight) + time.Duration(re.errors*float64(errorTime))
 		if re.Zone != ask.Zone {
 			score += zoneTime
 		}
+		if re != home {
+			score += homeTime
+		}
 		if best == nil || score < bestScore {
 			best, bestScore = re, score
 			ch = Choice{Server: re.Server, First: first, Fresh: fresh, Fits: fl.rate}
@@ -219,8 +265,8 @@
 
 // predict estimates the time to the first token at a server, and how much of the prompt
 // it has to read.
-func (fl *Fleet) predict(now time.Time, re *replica, lo Load, ask *Ask, home bool) (first time.Duration, fresh units.Tokens) {
-	fresh = max(0, ask.Prompt-re.cached(ask.Parts, home))
+func (fl *Fleet) predict(now time.Time, re *replica, lo Load, ask *Ask) (first time.Duration, fresh units.Tokens) {
+	fresh = max(0, ask.Prompt-re.cached(ask.Parts))
 	slots := max(re.Slots, 1)
 	first = baseTime + fl.readTime(lo.Unread+fresh, 1) + slotTime*time.Duration(lo.Running)/time.Duration(slots)
 	if over := lo.Running + 1 - slots; over > 0 {
@@ -236,13 +282,11 @@
 	return time.Duration(float64(tokens) / float64(fl.rate) * weight * float64(time.Second))
 }
 
-// cached returns the number of leading tokens that a server is believed to hold. The
-// home of a prompt is believed to hold all that other requests share.
-func (re *replica) cached(parts []Part, home bool) units.Tokens {
+// cached returns the number of leading tokens that a server is believed to hold.
+func (re *replica) cached(parts []Part) units.Tokens {
 	var total units.Tokens
-	for idx, pa := range parts {
-		_, known := re.parts[pa.ID]
-		if !known && (!home || idx == len(parts)-1) {
+	for _, pa := range parts {
+		if _, known := re.parts[pa.ID]; !known {
 			break
 		}
 		total += pa.Tokens
@@ -270,8 +314,8 @@
 }
 
 func rendezvous(key PartID, id units.VMID) uint64 {
-	var buf [8]byte
-	binary.LittleEndian.PutUint64(buf[:], uint64(key))
+	var buf [4]byte
+	binary.LittleEndian.PutUint32(buf[:], uint32(key))
 	di := xxhash.New()
 	_, _ = di.Write(buf[:])
 	_, _ = di.WriteString(string(id))
@@ -324,11 +368,11 @@
 	re.waiting[fl.last] = sent{at: now, fresh: ch.Fresh, alone: fl.total(now, re).Unread == 0}
 	re.own.Running++
 	re.own.Unread += ch.Fresh
-	if len(re.parts) > knownParts {
-		re.parts = map[PartID]time.Time{}
-	}
-	for _, pa := range ask.Parts {
-		re.parts[pa.ID] = now
+	for idx, pa := range ask.Parts {
+		if _, known := re.parts[pa.ID]; !known && idx < len(ask.Parts)-1 {
+			fl.recent = append(fl.recent, sending{at: now, server: re.ID, part: pa.ID})
+		}
+		re.hold(now, []PartID{pa.ID})
 	}
 	return fl.last
 }
