--- a/internal/node/entry/duty.go
+++ b/internal/node/entry/duty.go
@@ -25,6 +25,8 @@
 	dutyEvery = 500 * time.Millisecond
 	// renewEvery is the time between two records of the holder.
 	renewEvery = time.Second
+	// heardTime is how long a peer's word that it holds the duty saves a look at the store.
+	heardTime = 1200 * time.Millisecond
 	// leaseMargin covers the time that a record takes to be read.
 	leaseMargin = 700 * time.Millisecond
 	// usageSettle is the time after the end of a window in which all nodes' counts
@@ -71,6 +73,13 @@
 func (no *Node) serveDuties(ctx context.Context) {
 	up := true
 	for sleep(ctx, dutyEvery) {
+		if no.pf.OrdersServers {
+			no.followDemand()
+		}
+		if no.leaving.Load() {
+			no.holding.Store(false)
+			continue
+		}
 		if no.isDutySafe() {
 			continue
 		}
@@ -81,7 +90,7 @@
 				continue
 			}
 		}
-		if no.leaving.Load() || no.steady() < startWait {
+		if no.steady() < startWait {
 			continue
 		}
 		no.renewDuty(ctx)
@@ -100,7 +109,7 @@
 	du := &no.duty
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	return du.loaded && !du.lease.Holds() && time.Since(du.heard) < no.set.Timing.Lease()
+	return du.loaded && !du.lease.Holds() && time.Since(du.heard) < heardTime
 }
 
 // followDuty reads the records of the lease.
--- a/internal/node/entry/order.go
+++ b/internal/node/entry/order.go
@@ -39,7 +39,9 @@
 
 type orders struct {
 	demand map[units.TargetID]*scale.Demand
-	given  map[orderKey]given
+	// based are the demands that orders are based on.
+	based map[units.TargetID]units.TokensPerSecond
+	given map[orderKey]given
 	// traffic is when the first work was seen.
 	traffic time.Time
 	// known is set if an earlier holder has told the demand.
@@ -47,19 +49,11 @@
 }
 
 func newOrders() orders {
-	return orders{demand: map[units.TargetID]*scale.Demand{}, given: map[orderKey]given{}}
+	return orders{demand: map[units.TargetID]*scale.Demand{}, based: map[units.TargetID]units.TokensPerSecond{}, given: map[orderKey]given{}}
 }
 
-// rates returns the demands, for the record of the duty.
-func (od *orders) rates() map[units.TargetID]units.TokensPerSecond {
-	out := make(map[units.TargetID]units.TokensPerSecond, len(od.demand))
-	for id, de := range od.demand {
-		if de.Last() > 0 {
-			out[id] = de.Last()
-		}
-	}
-	return out
-}
+// rates returns the demands that orders were based on, for the record of the duty.
+func (od *orders) rates() map[units.TargetID]units.TokensPerSecond { return od.based }
 
 // take takes over the demands that a holder has written.
 func (od *orders) take(rates map[units.TargetID]units.TokensPerSecond) {
@@ -72,8 +66,20 @@
 	}
 }
 
-// orderServers gives the orders that are due. The demand is followed by every node, so
-// that a successor knows it at once.
+// followDemand follows the demand at every node, so that a successor knows it at once.
+func (no *Node) followDemand() {
+	fo := no.config.Load()
+	if fo == nil {
+		return
+	}
+	for idx := range fo.Services {
+		if se := &fo.Services[idx]; se.Scaling != nil {
+			no.duty.orders.based[se.ID] = max(no.demandOf(se.ID), no.priorDemand(fo.Config))
+		}
+	}
+}
+
+// orderServers gives the orders that are due.
 func (no *Node) orderServers(ctx context.Context) {
 	fo := no.config.Load()
 	if fo == nil {
@@ -81,12 +87,8 @@
 	}
 	for idx := range fo.Services {
 		se := &fo.Services[idx]
-		if se.Scaling == nil {
-			continue
-		}
-		rate := max(no.demandOf(se.ID), no.priorDemand(fo.Config))
-		if _, held := no.duty.lease.Held(bootTime()); held {
-			no.orderService(ctx, se, rate)
+		if _, held := no.duty.lease.Held(bootTime()); held && se.Scaling != nil {
+			no.orderService(ctx, se, no.duty.orders.based[se.ID])
 		}
 	}
 }
--- a/internal/rule/scale/demand.go
+++ b/internal/rule/scale/demand.go
@@ -36,9 +36,6 @@
 	de.totals[source] = total
 }
 
-// Last returns the demand as it was last computed.
-func (de *Demand) Last() units.TokensPerSecond { return units.TokensPerSecond(de.rate) }
-
 // Begin sets the demand that an earlier holder knew, unless more of it was seen here.
 func (de *Demand) Begin(rate units.TokensPerSecond) {
 	if de.rate == 0 {
