Notice the return of the store by whichever reader reaches it first

Cause: a removal read within 2.3 s after the store is back is held as a lapse. Ruled out: the readers' pauses (100 ms).

--- a/internal/node/entry/duty.go
+++ b/internal/node/entry/duty.go
@@ -71,7 +71,6 @@
 
 // serveDuties follows the lease, and does what is due while this node holds it.
 func (no *Node) serveDuties(ctx context.Context) {
-	up := true
 	for sleep(ctx, dutyEvery) {
 		if no.pf.OrdersServers {
 			no.followDemand()
@@ -84,9 +83,7 @@
 			continue
 		}
 		if _, held := no.duty.lease.Held(bootTime()); !held {
-			err := no.followDuty(ctx)
-			up = no.noteStore("duty", up, err)
-			if err != nil {
+			if stale, err := no.read(ctx, "duty", no.followDuty); stale || err != nil {
 				continue
 			}
 		}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -101,7 +101,8 @@
 	offered map[units.TargetID]pulse.Work
 	heard   map[units.VMID]*heardWork
 
-	duty duty
+	contact contact
+	duty    duty
 }
 
 type inForce struct {
@@ -119,6 +120,7 @@
 		book: usage.NewBook(set.Timing.UsageWindow()), clock: clock.New(),
 		offered: map[units.TargetID]pulse.Work{}, heard: map[units.VMID]*heardWork{},
 	}
+	no.contact.reads = map[int]context.CancelFunc{}
 	no.relay = relay.New(log, set.VM.Zone, no, pool.Tolerance{
 		Window: set.Limits.Window(), Share: set.Limits.QuotaShare, Fixed: set.Limits.QuotaFixed,
 	})
--- a/internal/node/entry/follow.go
+++ b/internal/node/entry/follow.go
@@ -25,35 +25,21 @@
 // followConfig keeps the configuration in force up to date.
 func (no *Node) followConfig(ctx context.Context) {
 	next := units.Offset(-1)
-	up := true
 	for ctx.Err() == nil {
-		var err error
-		if next < 0 {
-			next, err = no.loadConfig(ctx)
-		} else {
-			next, err = no.readConfig(ctx, next)
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		up = no.noteStore("config", up, err)
-		if err != nil && !sleep(ctx, retryPause) {
+		stale, err := no.read(ctx, "config", func(ctx context.Context) (err error) {
+			if next < 0 {
+				next, err = no.loadConfig(ctx)
+			} else {
+				next, err = no.readConfig(ctx, next)
+			}
+			return err
+		})
+		if (stale || err != nil) && !sleep(ctx, retryPause) {
 			return
 		}
 	}
 }
 
-// noteStore logs each loss and return of the store.
-func (no *Node) noteStore(what string, up bool, err error) bool {
-	switch {
-	case err != nil && up:
-		no.log.Warn("store_lost", zap.String("reader", what), zap.Error(err))
-	case err == nil && !up:
-		no.log.Info("store_back", zap.String("reader", what))
-	}
-	return err == nil
-}
-
 func (no *Node) loadConfig(ctx context.Context) (units.Offset, error) {
 	items, end, err := no.pf.Store.Newest(ctx, no.pf.Operator)
 	if err != nil {
@@ -113,23 +99,18 @@
 
 // followServers keeps the list of backend servers up to date.
 func (no *Node) followServers(ctx context.Context) {
-	loaded, up := false, true
+	loaded := false
 	for ctx.Err() == nil {
-		var err error
-		if loaded {
-			loaded, err = no.readServers(ctx)
-		} else {
-			loaded, err = no.loadServers(ctx)
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		up = no.noteStore("servers", up, err)
+		stale, err := no.read(ctx, "servers", func(ctx context.Context) (err error) {
+			if loaded {
+				loaded, err = no.readServers(ctx)
+			} else {
+				loaded, err = no.loadServers(ctx)
+			}
+			return err
+		})
 		pause := serversPause
-		if err != nil {
-			no.mu.Lock()
-			no.servers.StoreDown()
-			no.mu.Unlock()
+		if stale || err != nil {
 			pause = retryPause
 		}
 		if !sleep(ctx, pause) {
@@ -145,7 +126,6 @@
 	}
 	no.mu.Lock()
 	now := time.Now()
-	no.servers.StoreUp(now)
 	listed := map[units.VMID]bool{}
 	for _, it := range items {
 		listed[units.VMID(it.Key)] = true
@@ -173,7 +153,6 @@
 	}
 	no.mu.Lock()
 	now := time.Now()
-	no.servers.StoreUp(now)
 	changed := false
 	for idx, rec := range page.Records {
 		off := page.From + units.Offset(idx)
