--- a/internal/edge/door/link.go
+++ b/internal/edge/door/link.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -64,7 +65,8 @@
 			li.early = append(li.early, one[0])
 			return
 		}
-		if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		var ne net.Error
+		if errors.As(err, &ne) && ne.Timeout() {
 			return
 		}
 		gone()
--- a/internal/node/entry/duty.go
+++ b/internal/node/entry/duty.go
@@ -20,7 +20,7 @@
 	// dutyStream holds the records of the lease, one key only, so that the newest is
 	// kept however long nobody writes.
 	dutyStream stream.Name = "keyed.duty"
-	dutyKey                = "holder"
+	dutyKey    string      = "holder"
 	// dutyEvery is the time between two looks at the duties.
 	dutyEvery = 500 * time.Millisecond
 	// renewEvery is the time between two records of the holder.
--- a/internal/rule/place/place.go
+++ b/internal/rule/place/place.go
@@ -128,7 +128,6 @@
 
 // Fleet is what is known of the servers of one service.
 type Fleet struct {
-	slots    int
 	rate     units.TokensPerSecond
 	replicas []*replica
 	byID     map[units.VMID]*replica
