--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -216,7 +216,7 @@
 
 const (
 	// killMargin is the time before the platform's kill at which a leaving node exits.
-	killMargin = 300 * time.Millisecond
+	killMargin = 500 * time.Millisecond
 	// lateStreams and lateOther are the times after the signal to stop from which on new
 	// streams, and other requests, could not end before the exit: they are refused, so that
 	// their callers go to another node at once.
