--- a/internal/node/entry/order.go
+++ b/internal/node/entry/order.go
@@ -17,8 +17,6 @@
 	// confirmOrder is the time after which an order is repeated in any case, since an
 	// earlier holder's call may have arrived late.
 	confirmOrder = 10 * time.Second
-	// dryTime is how long a refusal of spot servers counts.
-	dryTime = 3 * time.Second
 	// priorTime is the time of traffic after which the demand is taken as seen.
 	priorTime = 4 * time.Second
 )
@@ -42,6 +40,7 @@
 	// based are the demands that orders are based on.
 	based map[units.TargetID]units.TokensPerSecond
 	given map[orderKey]given
+	dry   map[units.TargetID]scale.Dry
 	// traffic is when the first work was seen.
 	traffic time.Time
 	// known is set if an earlier holder has told the demand.
@@ -49,7 +48,7 @@
 }
 
 func newOrders() orders {
-	return orders{demand: map[units.TargetID]*scale.Demand{}, based: map[units.TargetID]units.TokensPerSecond{}, given: map[orderKey]given{}}
+	return orders{demand: map[units.TargetID]*scale.Demand{}, based: map[units.TargetID]units.TokensPerSecond{}, given: map[orderKey]given{}, dry: map[units.TargetID]scale.Dry{}}
 }
 
 // rates returns the demands that orders were based on, for the record of the duty.
@@ -146,26 +145,18 @@
 	return false
 }
 
-// dryZones returns the zones where spot servers were refused lately.
-func (no *Node) dryZones(id units.TargetID, now time.Time) map[units.ZoneID]bool {
-	out := map[units.ZoneID]bool{}
-	for key, gi := range no.duty.orders.given {
-		if key.service == id && key.spot && !gi.accepted && now.Sub(gi.at) < dryTime {
-			out[key.zone] = true
-		}
-	}
-	return out
-}
-
 func (no *Node) orderService(ctx context.Context, se *routes.Service, rate units.TokensPerSecond) {
-	have := map[orderKey]int{}
+	have, leaving := map[orderKey]int{}, map[orderKey]int{}
 	now := time.Now()
 	for _, lo := range no.relay.Servers(now, se.ID) {
-		if !lo.Draining {
-			have[orderKey{service: se.ID, zone: lo.Zone, spot: lo.Spot}]++
+		key := orderKey{service: se.ID, zone: lo.Zone, spot: lo.Spot}
+		if lo.Draining {
+			leaving[key]++
+		} else {
+			have[key]++
 		}
 	}
-	for _, or := range scale.Plan(no.set.Orders, se.Scaling, rate, no.dryZones(se.ID, now)) {
+	for _, or := range scale.Plan(no.set.Orders, se.Scaling, rate, no.noteDry(se, have, leaving)) {
 		key := orderKey{service: se.ID, zone: or.Zone, spot: or.Spot}
 		last, known := no.duty.orders.given[key]
 		age := now.Sub(last.at)
@@ -185,6 +176,27 @@
 	}
 }
 
+// noteDry brings up to date where spot servers are not to be had.
+func (no *Node) noteDry(se *routes.Service, have, leaving map[orderKey]int) scale.Dry {
+	od := &no.duty.orders
+	dry := od.dry[se.ID]
+	if dry == nil {
+		dry = scale.Dry{}
+		od.dry[se.ID] = dry
+	}
+	for zo := range se.Scaling.ZonePrices {
+		key := orderKey{service: se.ID, zone: zo, spot: true}
+		last, known := od.given[key]
+		// A spot server that we let go of is no reclaim.
+		left := leaving[key]
+		if known && have[key] >= last.count {
+			left = 0
+		}
+		dry.Note(zo, left, have[key], last.count, known && !last.accepted)
+	}
+	return dry
+}
+
 // give gives one order. It returns false if this node no longer holds the duty.
 func (no *Node) give(ctx context.Context, key orderKey, count, have int, rate units.TokensPerSecond) bool {
 	fence, held := no.duty.lease.Held(bootTime())
--- a/internal/rule/pool/pool.go
+++ b/internal/rule/pool/pool.go
@@ -31,7 +31,14 @@
 const (
 	// toleranceShare is the part of the tolerance that is given out; the rest covers
 	// requests that peers admit before their reports arrive.
-	toleranceShare = 0.15
+	toleranceShare = 0.1
+	// sizeFactor is the ratio of the bucket's level to a request's size from which on it is
+	// admitted, and overdraft the part of the bucket that the level may be short of it.
+	// Together they let small requests pass while a customer sends several times its limit:
+	// a page or a short answer then doesn't wait behind the prompts of drafts, each of
+	// which weighs as much as fifty of them.
+	sizeFactor = 2
+	overdraft  = 0.05
 	// startShare is the part of the burst that a new node believes to be left: its
 	// predecessor and its peers may just have used the rest.
 	startShare = 0.05
@@ -164,7 +171,7 @@
 	}
 	bu.fill(now, po.peers)
 	// A single request may be larger than the whole bucket.
-	need := min(amount, bu.most)
+	need := min(amount*sizeFactor, bu.most) - bu.most*overdraft
 	short := need - (bu.level - bu.unseen(now, po.peers))
 	if short > 0 {
 		// Callers come back one after the other, not all when the first one fits.
--- a/internal/rule/scale/scale.go
+++ b/internal/rule/scale/scale.go
@@ -43,7 +43,7 @@
 
 // Plan returns the orders for a service, by zone, on demand before spot. Zones are those
 // with a price; dry are those where no spot server is to be had at present.
-func Plan(po Policy, sc *routes.Scaling, demand units.TokensPerSecond, dry map[units.ZoneID]bool) []Order {
+func Plan(po Policy, sc *routes.Scaling, demand units.TokensPerSecond, dry Dry) []Order {
 	zones := byPrice(sc)
 	if len(zones) == 0 {
 		return nil
@@ -72,6 +72,22 @@
 	return out
 }
 
+// Dry holds the zones where spot servers are gone and not to be had. A zone is dry from
+// the first notice of a reclaim, since a server on demand takes longer to start than the
+// notice lasts, until its spot servers are back.
+type Dry map[units.ZoneID]bool
+
+// Note takes in what is seen of the spot servers of a zone: how many are leaving, how many
+// are in use and wanted, and whether the last order was refused.
+func (dr Dry) Note(zone units.ZoneID, leaving, have, want int, refused bool) {
+	switch {
+	case refused || leaving > 0:
+		dr[zone] = true
+	case have >= want:
+		delete(dr, zone)
+	}
+}
+
 func ceil(demand, rate units.TokensPerSecond) int {
 	if rate <= 0 {
 		return 0
