--- a/internal/edge/door/door.go
+++ b/internal/edge/door/door.go
@@ -221,7 +221,7 @@
 		}
 		return fasthttp.StatusBadRequest, fault.Wrap(op, KindRequest, err)
 	}
-	if err := checkFraming(&req.Header); err != nil {
+	if err := CheckFraming(&req.Header); err != nil {
 		return fasthttp.StatusBadRequest, fault.Wrap(op, KindRequest, err)
 	}
 	_ = li.SetReadDeadline(time.Now().Add(bodyTime))
--- a/internal/edge/door/frame.go
+++ b/internal/edge/door/frame.go
@@ -7,9 +7,9 @@
 	"github.com/valyala/fasthttp"
 )
 
-// checkFraming refuses headers whose end of the body two parsers could see at different
+// CheckFraming refuses headers whose end of the body two parsers could see at different
 // places, and header lines that a parser further on could read in another way.
-func checkFraming(hd *fasthttp.RequestHeader) error {
+func CheckFraming(hd *fasthttp.RequestHeader) error {
 	var length []byte
 	lengths, codings := 0, 0
 	rest := hd.RawHeaders()
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -49,6 +49,8 @@
 	sends, events int
 	lastEvent     string
 	began         bool
+	// last is the latest choice of a server.
+	last picked
 	// result is what an answered attempt says of its server.
 	result place.Result
 	// failure is a server's own answer that it failed, for the caller if no better one
@@ -154,12 +156,11 @@
 	}
 	switch {
 	case sent:
-		ru.rl.Log.Debug("server_chosen", zap.String("request", string(rq.ID)), zap.String("server", string(pi.Server.ID)),
-			zap.Int("send", ru.sends+1), zap.Duration("predicted", pi.First), zap.Int64("fresh_tokens", int64(pi.Fresh)),
-			zap.Duration("list_age", pi.age), zap.Uint64("config", uint64(rq.Config)))
+		ru.last = pi
 		return pi, true
 	case found:
 		ru.rl.Counts.Overload.Add(1)
+		ru.last = pi
 		ru.giveUp(fasthttp.StatusServiceUnavailable, "no server can answer in time", after)
 	default:
 		ru.rl.Counts.NoServer.Add(1)
@@ -172,6 +173,9 @@
 func (ru *run) giveUp(status int, reason string, after time.Duration) {
 	if ru.ma.GiveUp() == answer.NotRun {
 		ru.rl.refuse(ru.rq, ru.sink, status, reason, after)
+		if ru.last.Server.ID != "" {
+			ru.log("refused_after", reason, status)
+		}
 		return
 	}
 	ru.unknown(fasthttp.StatusBadGateway, reason)
@@ -183,10 +187,14 @@
 	ru.sink.Refuse(status, reason, 0)
 }
 
+// log writes the one line about a request's end, with what its last choice was based on.
 func (ru *run) log(event, reason string, status int) {
-	ru.rl.Log.Info(event, zap.String("request", string(ru.rq.ID)), zap.String("route", ru.rq.Route.Name),
-		zap.Uint64("config", uint64(ru.rq.Config)), zap.String("reason", reason), zap.Int("status", status),
-		zap.Int("sends", ru.sends), zap.Int("events", ru.events), zap.Duration("took", time.Since(ru.rq.Arrived)))
+	rq, pi := ru.rq, &ru.last
+	ru.rl.Log.Info(event, zap.String("request", string(rq.ID)), zap.String("route", rq.Route.Name),
+		zap.Uint64("config", uint64(rq.Config)), zap.String("reason", reason), zap.Int("status", status),
+		zap.Int("sends", ru.sends), zap.Int("events", ru.events), zap.Duration("took", time.Since(rq.Arrived)),
+		zap.String("server", string(pi.Server.ID)), zap.Duration("predicted", pi.First),
+		zap.Int64("fresh_tokens", int64(pi.Fresh)), zap.Duration("list_age", pi.age))
 }
 
 // finish tells the caller the end of a request, with err if it has failed.
@@ -198,8 +206,7 @@
 	switch {
 	case err == nil:
 		ru.rl.Counts.Done.Add(1)
-		ru.rl.Log.Debug("request_done", zap.String("request", string(ru.rq.ID)), zap.Int("status", ru.sink.Status()),
-			zap.Int("sends", ru.sends), zap.Int("events", ru.events), zap.Duration("took", time.Since(ru.rq.Arrived)))
+		ru.log("request_done", "", ru.sink.Status())
 	case fault.Is(err, KindGone):
 		ru.rl.Counts.Gone.Add(1)
 		ru.log("caller_gone", err.Error(), 0)
@@ -228,7 +235,7 @@
 		ru.rl.Counts.Resumes.Add(1)
 	}
 	ru.rl.Log.Info("request_repeated", zap.String("request", string(ru.rq.ID)), zap.Int("send", ru.sends+1),
-		zap.String("last_event", ru.lastEvent), zap.String("reason", err.Error()))
+		zap.String("server", string(ru.last.Server.ID)), zap.String("last_event", ru.lastEvent), zap.String("reason", err.Error()))
 	return true
 }
 
--- a/internal/edge/serve/server.go
+++ b/internal/edge/serve/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/gofiber/fiber/v2"
 
+	"lycheepick/internal/edge/door"
 	"lycheepick/internal/edge/flow"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/units"
@@ -100,6 +101,7 @@
 		IdleTimeout:           idleTimeout,
 		ErrorHandler:          handleError,
 	})
+	sv.app.Use(checkFraming)
 	sv.app.Get("/healthz", func(ct *fiber.Ctx) error { return ct.SendString("ok\n") })
 	sv.app.Get("/readyz", sv.ready)
 	sv.app.Get("/metrics", sv.metrics)
@@ -110,6 +112,16 @@
 	return sv
 }
 
+// checkFraming refuses requests whose body two parsers could see end at different places,
+// and ends their connections.
+func checkFraming(ct *fiber.Ctx) error {
+	if err := door.CheckFraming(&ct.Request().Header); err != nil {
+		ct.Context().SetConnectionClose()
+		return reject(ct, fault.Wrap("serve.checkFraming", KindBadRequest, err))
+	}
+	return ct.Next()
+}
+
 // Listen answers callers at addr until Shutdown.
 func (sv *Server) Listen(addr string) error { return sv.app.Listen(addr) }
 
