--- a/internal/rule/pool/pool.go
+++ b/internal/rule/pool/pool.go
@@ -10,6 +10,7 @@
 package pool
 
 import (
+	"math"
 	"time"
 
 	"lycheepick/internal/rule/units"
@@ -42,8 +43,9 @@
 	// startShare is the part of the burst that a new node believes to be left: its
 	// predecessor and its peers may just have used the rest.
 	startShare = 0.05
-	// rateWeight is the weight of a report in a peer's smoothed rate.
-	rateWeight = 0.5
+	// rateTime is the time constant of a peer's smoothed rate. Two reports may be only
+	// milliseconds apart.
+	rateTime = 400 * time.Millisecond
 	// silentTime is the age of a report from which on a peer counts as silent.
 	silentTime = 1500 * time.Millisecond
 	// goneTime is the age of a report from which on a peer no longer counts.
@@ -273,7 +275,8 @@
 		}
 		bu.level = min(bu.most, bu.level-delta+us.assumed)
 		if gap > 0 {
-			us.rate = us.rate*(1-rateWeight) + max(0, delta)/gap.Seconds()*rateWeight
+			weight := 1 - math.Exp(-float64(gap)/float64(rateTime))
+			us.rate += (max(0, delta)/gap.Seconds() - us.rate) * weight
 		}
 		us.total, us.assumed = totals[id], 0
 	}
--- a/internal/rule/pool/pool_test.go
+++ b/internal/rule/pool/pool_test.go
@@ -175,3 +175,24 @@
 		t.Errorf("share admitted at 0.9 of the limit: have %.3f, want 0.98 or more", share)
 	}
 }
+
+// TestReportsCloseTogether replays trouble-1 of bbsw-austin: a node that asks a peer just
+// after the peer has asked gets two reports within milliseconds, and must not take what
+// the second one adds for the peer's rate.
+func TestReportsCloseTogether(t *testing.T) {
+	po := pool.New(tolerance)
+	po.SetLimits(start, map[units.CustomerID]pool.Limit{"hot": limit})
+	now, used := start, 0.0
+	for range 20 {
+		now = now.Add(300 * time.Millisecond)
+		used += 5_000
+		po.Report(now, "peer", 1, pool.Totals{"hot": used})
+		now = now.Add(4 * time.Millisecond)
+		used += 8_000 // One large request.
+		po.Report(now, "peer", 1, pool.Totals{"hot": used})
+	}
+	later := now.Add(200 * time.Millisecond)
+	if have := po.View(later, "hot").Unseen; have > 20_000 {
+		t.Errorf("unseen use 200 ms after the last report: have %.0f, want 20000 or less at 43000 a second", have)
+	}
+}
