Give a customer's limit to requests that can still be in time first

Ruled out: longer times to come back, which callers honour only up to a third of the time that they have left.

--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -138,6 +138,8 @@
 	mu     sync.Mutex
 	fleets map[units.TargetID]*service
 	pool   *pool.Pool
+	// waits are the longest times that callers of each route were willing to wait.
+	waits map[string]time.Duration
 }
 
 // leave tells until when a leaving node takes new requests.
@@ -177,7 +179,7 @@
 // New returns a relay without servers and limits.
 func New(log *zap.Logger, zone units.ZoneID, me Meter, to pool.Tolerance) *Relay {
 	return &Relay{
-		Log: log, Zone: zone, Meter: me, fleets: map[units.TargetID]*service{}, pool: pool.New(to),
+		Log: log, Zone: zone, Meter: me, fleets: map[units.TargetID]*service{}, pool: pool.New(to), waits: map[string]time.Duration{},
 		FirstEvent: func(time.Duration) {},
 	}
 }
@@ -219,6 +221,7 @@
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	rl.pool.SetLimits(now, limits)
+	rl.waits = map[string]time.Duration{} // Routes and their timeouts may have changed.
 }
 
 // Peer takes in what a peer reports of its own work and admissions.
@@ -270,7 +273,20 @@
 	}
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	return rl.pool.Take(now, rq.Customer.ID, rq.Size)
+	return rl.pool.Take(now, rq.Customer.ID, rq.Size, rl.isLate(rq))
+}
+
+// isLate tells whether a request comes too late for its target: its caller has less time
+// left than callers of the route have at first, since it was refused or failed before. The
+// caller of isLate holds the lock.
+func (rl *Relay) isLate(rq *Request) bool {
+	left := rq.Until.Sub(rq.Arrived)
+	usual := rl.waits[rq.Route.Name]
+	if left > usual {
+		rl.waits[rq.Route.Name] = left
+		return false
+	}
+	return usual-left > rq.Route.Target
 }
 
 func (rl *Relay) refund(rq *Request) {
--- a/internal/rule/pool/pool.go
+++ b/internal/rule/pool/pool.go
@@ -40,6 +40,10 @@
 	// which weighs as much as fifty of them.
 	sizeFactor = 2
 	overdraft  = 0.05
+	// lateLevel is the part of the bucket that has to be left for a request that can no
+	// longer be answered in time, such as one that was refused before. By the users'
+	// sheets an answer in time is worth ten late ones.
+	lateLevel = 0.5
 	// startShare is the part of the burst that a new node believes to be left: its
 	// predecessor and its peers may just have used the rest.
 	startShare = 0.05
@@ -165,8 +169,11 @@
 	return bu.limit.Rate / float64(len(peers)+1)
 }
 
-// Take admits a request of so many units, or tells when to come back.
-func (po *Pool) Take(now time.Time, cu units.CustomerID, amount float64) (ok bool, after time.Duration) {
+// Take admits a request of so many units, or tells when to come back. late is set for a
+// request that can no longer be answered in time. The load that this answers: a customer
+// that sends several times its limit for seconds, with callers that come back once. Taken
+// in turn, those that come back would use up the limit late, and drive others to the same.
+func (po *Pool) Take(now time.Time, cu units.CustomerID, amount float64, late bool) (ok bool, after time.Duration) {
 	bu := po.buckets[cu]
 	if bu == nil {
 		return true, 0
@@ -174,6 +181,9 @@
 	bu.fill(now, po.peers)
 	// A single request may be larger than the whole bucket.
 	need := min(amount*sizeFactor, bu.most) - bu.most*overdraft
+	if late {
+		need = max(need, bu.most*lateLevel)
+	}
 	short := need - (bu.level - bu.unseen(now, po.peers))
 	if short > 0 {
 		// Callers come back one after the other, not all when the first one fits.
--- a/internal/rule/pool/pool_test.go
+++ b/internal/rule/pool/pool_test.go
@@ -23,9 +23,9 @@
 	po := pool.New(pool.Tolerance{})
 	po.SetLimits(start, map[units.CustomerID]pool.Limit{"alpha": {Rate: 100, Burst: 400}})
 	later := start.Add(time.Second) // The bucket of a new node is nearly empty.
-	fmt.Println(po.Take(later, "alpha", 50))
-	fmt.Println(po.Take(later, "alpha", 60))
-	fmt.Println(po.Take(later, "beta", 1_000_000))
+	fmt.Println(po.Take(later, "alpha", 50, false))
+	fmt.Println(po.Take(later, "alpha", 60, false))
+	fmt.Println(po.Take(later, "beta", 1_000_000, true))
 	// Output:
 	// true 0s
 	// false 300ms
@@ -85,7 +85,7 @@
 }
 
 func (wo *world) offer(now time.Time, num int, amount float64) bool {
-	ok, _ := wo.nodes[num].po.Take(now, "hot", amount)
+	ok, _ := wo.nodes[num].po.Take(now, "hot", amount, false)
 	if ok {
 		wo.admits = append(wo.admits, admit{at: now, amount: amount})
 	}
@@ -196,3 +196,49 @@
 		t.Errorf("unseen use 200 ms after the last report: have %.0f, want 20000 or less at 43000 a second", have)
 	}
 }
+
+// TestCallersThatComeBack replays scale-2 of bbsw-austin: a customer sends three times its
+// limit for ten seconds, and each caller comes back once, too late. Giving the limit to
+// those that are still in time answers more of them in time, and fewer late.
+func TestCallersThatComeBack(t *testing.T) {
+	play := func(tell bool) (inTime, late int) {
+		po := pool.New(tolerance)
+		po.SetLimits(start.Add(-5*time.Second), map[units.CustomerID]pool.Limit{"hot": limit})
+		type call struct {
+			at     time.Time
+			amount float64
+			late   bool
+		}
+		rnd := rand.New(rand.NewPCG(7, 7))
+		var calls []call
+		for at := start; at.Before(start.Add(10 * time.Second)); at = at.Add(10 * time.Millisecond) {
+			calls = append(calls, call{at: at, amount: float64(1_000 + rnd.IntN(8_500))})
+		}
+		for len(calls) > 0 {
+			next := 0
+			for idx := range calls {
+				if calls[idx].at.Before(calls[next].at) {
+					next = idx
+				}
+			}
+			ca := calls[next]
+			calls = append(calls[:next], calls[next+1:]...)
+			ok, after := po.Take(ca.at, "hot", ca.amount, ca.late && tell)
+			switch {
+			case ok && !ca.late:
+				inTime++
+			case ok:
+				late++
+			case !ca.late:
+				calls = append(calls, call{at: ca.at.Add(max(500*time.Millisecond, min(after, 2*time.Second))), amount: ca.amount, late: true})
+			}
+		}
+		return inTime, late
+	}
+	naive, naiveLate := play(false)
+	ours, oursLate := play(true)
+	t.Logf("in time: %d against %d, late: %d against %d", ours, naive, oursLate, naiveLate)
+	if ours <= naive || oursLate*2 > naiveLate {
+		t.Errorf("have %d in time and %d late, want more than %d and less than half of %d", ours, oursLate, naive, naiveLate)
+	}
+}
