Order fewer servers on demand, where they are cheap, and keep their number steady

Cause: a least number of servers on demand in each zone stood in dear zones; a demand between two numbers started and stopped servers in turn; the prior demand called for servers on demand, which take the longest to pay off.

--- a/internal/node/entry/order.go
+++ b/internal/node/entry/order.go
@@ -39,6 +39,7 @@
 	demand map[units.TargetID]*scale.Demand
 	// based are the demands that orders are based on.
 	based map[units.TargetID]units.TokensPerSecond
+	need  map[units.TargetID]scale.Need
 	given map[orderKey]given
 	dry   map[units.TargetID]scale.Dry
 	// traffic is when the first work was seen.
@@ -48,7 +49,7 @@
 }
 
 func newOrders() orders {
-	return orders{demand: map[units.TargetID]*scale.Demand{}, based: map[units.TargetID]units.TokensPerSecond{}, given: map[orderKey]given{}, dry: map[units.TargetID]scale.Dry{}}
+	return orders{demand: map[units.TargetID]*scale.Demand{}, based: map[units.TargetID]units.TokensPerSecond{}, need: map[units.TargetID]scale.Need{}, given: map[orderKey]given{}, dry: map[units.TargetID]scale.Dry{}}
 }
 
 // rates returns the demands that orders were based on, for the record of the duty.
@@ -73,7 +74,9 @@
 	}
 	for idx := range fo.Services {
 		if se := &fo.Services[idx]; se.Scaling != nil {
-			no.duty.orders.based[se.ID] = max(no.demandOf(se.ID), no.priorDemand(fo.Config))
+			od := &no.duty.orders
+			od.based[se.ID] = no.demandOf(se.ID)
+			od.need[se.ID] = no.set.Orders.Need(od.based[se.ID], no.priorDemand(fo.Config), od.need[se.ID])
 		}
 	}
 }
@@ -87,7 +90,7 @@
 	for idx := range fo.Services {
 		se := &fo.Services[idx]
 		if _, held := no.duty.lease.Held(bootTime()); held && se.Scaling != nil {
-			no.orderService(ctx, se, no.duty.orders.based[se.ID])
+			no.orderService(ctx, se)
 		}
 	}
 }
@@ -145,7 +148,7 @@
 	return false
 }
 
-func (no *Node) orderService(ctx context.Context, se *routes.Service, rate units.TokensPerSecond) {
+func (no *Node) orderService(ctx context.Context, se *routes.Service) {
 	have, leaving := map[orderKey]int{}, map[orderKey]int{}
 	now := time.Now()
 	for _, lo := range no.relay.Servers(now, se.ID) {
@@ -156,7 +159,7 @@
 			have[key]++
 		}
 	}
-	for _, or := range scale.Plan(no.set.Orders, se.Scaling, rate, no.noteDry(se, have, leaving)) {
+	for _, or := range scale.Plan(no.set.Orders, se.Scaling, no.duty.orders.need[se.ID], no.noteDry(se, have, leaving)) {
 		key := orderKey{service: se.ID, zone: or.Zone, spot: or.Spot}
 		last, known := no.duty.orders.given[key]
 		age := now.Sub(last.at)
@@ -170,7 +173,7 @@
 		if !known && or.Count == 0 && have[key] == 0 {
 			continue
 		}
-		if !no.give(ctx, key, or.Count, have[key], rate) {
+		if !no.give(ctx, key, or.Count, have[key], no.duty.orders.based[se.ID]) {
 			return
 		}
 	}
--- a/internal/rule/scale/scale.go
+++ b/internal/rule/scale/scale.go
@@ -41,26 +41,72 @@
 	Count int
 }
 
+const (
+	// baseSurcharge keeps servers on demand in more than one zone, since a zone may be
+	// cut off; spotSurcharge keeps spot servers apart, since a zone loses all at once.
+	baseSurcharge = 0.25
+	spotSurcharge = 0.5
+)
+
+// Need is the number of servers that a service needs.
+type Need struct {
+	// Base is the number on demand, Full that of both kinds together.
+	Base, Full int
+}
+
+// holdShare is the part of the demand for which a number of servers is right down to which
+// it is kept, so that a demand between two numbers doesn't start and stop servers in turn.
+const holdShare = 0.8
+
+// Need returns what a service needs for a demand, after it needed before. prior is the
+// demand that may come before enough of it was seen: it calls for spot servers, which are
+// cheap, and half of it for servers on demand.
+func (po Policy) Need(demand, prior units.TokensPerSecond, before Need) Need {
+	base := max(po.LeastBase, keep(before.Base, max(demand, prior/2), po.BaseRate))
+	full := max(base+po.LeastSpot, keep(before.Full, max(demand, prior), po.FullRate))
+	return Need{Base: base, Full: full}
+}
+
+// keep returns the number of servers for a demand at a rate each; it falls only when the
+// demand is well below what the number before is for.
+func keep(before int, demand, rate units.TokensPerSecond) int {
+	if rate <= 0 {
+		return 0
+	}
+	now := int(math.Ceil(float64(demand / rate)))
+	if now >= before {
+		return now
+	}
+	return max(now, min(before, int(math.Ceil(float64(demand/rate)/holdShare))))
+}
+
 // Plan returns the orders for a service, by zone, on demand before spot. Zones are those
 // with a price; dry are those where no spot server is to be had at present.
-func Plan(po Policy, sc *routes.Scaling, demand units.TokensPerSecond, dry Dry) []Order {
+func Plan(po Policy, sc *routes.Scaling, need Need, dry Dry) []Order {
 	zones := byPrice(sc)
 	if len(zones) == 0 {
 		return nil
 	}
-	base := max(po.LeastBase, ceil(demand, po.BaseRate), sc.Min*len(zones))
-	full := max(base+po.LeastSpot, ceil(demand, po.FullRate))
+	isSpot := sc.SpotPrice > 0 && sc.SpotPrice < 1
+	least := sc.Min
+	if isSpot {
+		least = 0 // Servers of either kind make up the least number of a zone.
+	}
+	base := max(need.Base, least*len(zones))
 	// What the dry zones can't give is made up for in part.
-	missing := float64(full-base) * float64(len(dry)) / float64(len(zones))
+	missing := float64(need.Full-base) * float64(len(dry)) / float64(len(zones))
 	base += int(math.Round(missing * po.Substitute))
 	room := map[units.ZoneID]int{}
 	for _, zo := range zones {
 		room[zo] = sc.Max
 	}
-	onDemand := spread(zones, room, base, sc.Min)
+	onDemand := spread(sc, zones, room, base, least, baseSurcharge)
 	spot := map[units.ZoneID]int{}
-	if sc.SpotPrice > 0 && sc.SpotPrice < 1 {
-		spot = spread(zones, room, full-base, 0)
+	if isSpot {
+		spot = spread(sc, zones, room, max(need.Full-base, 0), 0, spotSurcharge)
+		for _, zo := range zones {
+			spot[zo] = max(spot[zo], sc.Min-onDemand[zo])
+		}
 	}
 	out := make([]Order, 0, 2*len(zones))
 	for _, zo := range zones {
@@ -88,13 +134,6 @@
 	}
 }
 
-func ceil(demand, rate units.TokensPerSecond) int {
-	if rate <= 0 {
-		return 0
-	}
-	return int(math.Ceil(float64(demand / rate)))
-}
-
 func byPrice(sc *routes.Scaling) []units.ZoneID {
 	out := make([]units.ZoneID, 0, len(sc.ZonePrices))
 	for zo := range sc.ZonePrices {
@@ -109,29 +148,29 @@
 	return out
 }
 
-// spread deals servers out to the zones in turn, the cheapest first, after each has got
-// its least number. It takes them from the room left in each zone.
-func spread(zones []units.ZoneID, room map[units.ZoneID]int, count, least int) map[units.ZoneID]int {
+// spread deals servers out to the zones after each has got its least number: each next one
+// goes where it is cheapest, with a surcharge for each that is there already. It takes
+// them from the room left in each zone.
+func spread(sc *routes.Scaling, zones []units.ZoneID, room map[units.ZoneID]int, count, least int, surcharge float64) map[units.ZoneID]int {
 	out := map[units.ZoneID]int{}
 	for _, zo := range zones {
-		give := min(least, room[zo])
-		out[zo] += give
-		room[zo] -= give
-		count -= give
+		out[zo] = min(least, room[zo])
+		room[zo] -= out[zo]
+		count -= out[zo]
 	}
-	for count > 0 {
-		gave := false
+	for ; count > 0; count-- {
+		best, bestPrice := units.ZoneID(""), math.Inf(1)
 		for _, zo := range zones {
-			if count > 0 && room[zo] > 0 {
-				out[zo]++
-				room[zo]--
-				count--
-				gave = true
+			price := sc.ZonePrices[zo] * (1 + surcharge*float64(out[zo]))
+			if room[zo] > 0 && price < bestPrice {
+				best, bestPrice = zo, price
 			}
 		}
-		if !gave {
+		if math.IsInf(bestPrice, 1) {
 			break
 		}
+		out[best]++
+		room[best]--
 	}
 	return out
 }
