Order more servers while answers are late

Cause: the rates of the policy fit servers that read 92 to 110 tokens a millisecond; on a deployment with slower ones too few are ordered. Test: TestLateAnswersCallForServers.

--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -114,6 +114,9 @@
 	Began(cu units.CustomerID, at time.Time)
 	// Offered notes a request for a service with the prompt tokens that have to be read.
 	Offered(service units.TargetID, fresh units.Tokens)
+	// Late notes a request whose answer began later than its target, or that no server
+	// could begin in time.
+	Late(service units.TargetID)
 }
 
 // Counts are the totals that the metrics show.
@@ -266,6 +269,13 @@
 	return se.fleet.Servers(now)
 }
 
+// ReadRate returns the rate at which one server of a service reads prompts.
+func (rl *Relay) ReadRate(id units.TargetID) units.TokensPerSecond {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	return rl.service(id).fleet.ReadRate()
+}
+
 // admit applies the customer's limit.
 func (rl *Relay) admit(now time.Time, rq *Request) (ok bool, after time.Duration) {
 	if rq.Customer == nil {
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -160,6 +160,7 @@
 		return pi, true
 	case found:
 		ru.rl.Counts.Overload.Add(1)
+		ru.rl.Meter.Late(rq.Service)
 		ru.last = pi
 		ru.giveUp(fasthttp.StatusServiceUnavailable, "no server can answer in time", after)
 	default:
@@ -330,6 +331,9 @@
 	calm(ctx)
 	ru.rl.heard(ru.rq.Service, pi)
 	ru.began = true
+	if time.Since(pi.sent) > ru.rq.Route.Target {
+		ru.rl.Meter.Late(ru.rq.Service)
+	}
 	ru.rl.Log.Debug("answer_began", zap.String("request", string(ru.rq.ID)), zap.String("server", string(pi.Server.ID)),
 		zap.Duration("predicted", pi.First), zap.Duration("took", time.Since(pi.sent)), zap.Int64("fresh_tokens", int64(pi.Fresh)))
 	if ru.rq.Customer != nil {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -287,6 +287,15 @@
 	no.offered[service] = wo
 }
 
+// Late implements relay.Meter.
+func (no *Node) Late(service units.TargetID) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	wo := no.offered[service]
+	wo.Late++
+	no.offered[service] = wo
+}
+
 func (no *Node) source() string { return sourceOf(no.set.VM.ID, no.life) }
 
 func sourceOf(node units.VMID, life int64) string { return usage.Source{Node: node, Life: life}.Key() }
--- a/internal/node/entry/order.go
+++ b/internal/node/entry/order.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/rule/scale"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/state/routes"
@@ -104,9 +105,9 @@
 	}
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	de.Report(no.source(), no.offered[id].Prompt)
+	de.Report(no.source(), total(no.offered[id]))
 	for node, he := range no.heard {
-		de.Report(sourceOf(node, he.life), he.offered[id].Prompt)
+		de.Report(sourceOf(node, he.life), total(he.offered[id]))
 	}
 	return de.Rate(time.Now())
 }
@@ -148,6 +149,10 @@
 	return false
 }
 
+func total(wo pulse.Work) scale.Total {
+	return scale.Total{Prompt: wo.Prompt, Requests: wo.Requests, Late: wo.Late}
+}
+
 func (no *Node) orderService(ctx context.Context, se *routes.Service) {
 	have, leaving := map[orderKey]int{}, map[orderKey]int{}
 	now := time.Now()
@@ -210,6 +215,7 @@
 	no.duty.orders.given[key] = given{count: count, at: time.Now(), accepted: err == nil}
 	no.log.Info("servers_ordered", zap.String("service", string(key.service)), zap.String("zone", string(key.zone)),
 		zap.Bool("spot", key.spot), zap.Int("count", count), zap.Int("have", have), zap.Float64("demand", float64(rate)),
+		zap.Float64("read_rate", float64(no.relay.ReadRate(key.service))),
 		zap.Int64("fence", int64(fence)), zap.Bool("accepted", err == nil), zap.Error(err))
 	return true
 }
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -72,10 +72,11 @@
 	Peers []Peer `json:"peers,omitempty"`
 }
 
-// Work counts requests and their prompt tokens.
+// Work counts requests, their prompt tokens, and those that began late.
 type Work struct {
 	Requests int64        `json:"requests"`
 	Prompt   units.Tokens `json:"prompt"`
+	Late     int64        `json:"late,omitempty"`
 }
 
 // Question is one side of an exchange.
--- a/internal/rule/place/place.go
+++ b/internal/rule/place/place.go
@@ -452,6 +452,9 @@
 	return count
 }
 
+// ReadRate returns the rate at which one server reads prompts, as answers have shown it.
+func (fl *Fleet) ReadRate() units.TokensPerSecond { return fl.rate }
+
 // Servers returns the servers with the work of all nodes there.
 func (fl *Fleet) Servers(now time.Time) []Loaded {
 	out := make([]Loaded, 0, len(fl.replicas))
--- a/internal/rule/scale/scale_test.go
+++ b/internal/rule/scale/scale_test.go
@@ -72,13 +72,13 @@
 	de := scale.NewDemand()
 	de.Begin(400_000)
 	now := time.Unix(1_000_000, 0)
-	de.Report("node-1/2", 0)
+	de.Report("node-1/2", scale.Total{})
 	if have := de.Rate(now); have < 399_000 {
 		t.Fatalf("demand after a restart: have %.0f, want 400000", have)
 	}
 	for range 4 {
 		now = now.Add(500 * time.Millisecond)
-		de.Report("node-1/2", 0)
+		de.Report("node-1/2", scale.Total{})
 	}
 	if have := de.Rate(now); have < 300_000 {
 		t.Errorf("demand 2 s after a restart: have %.0f, want 300000 or more", have)
@@ -127,3 +127,25 @@
 		t.Errorf("before traffic: have %+v, want 3 and 10", need)
 	}
 }
+
+// TestLateAnswersCallForServers replays a deployment whose servers are slower than the
+// policy's rates: the demand is small, but half of the answers are late.
+func TestLateAnswersCallForServers(t *testing.T) {
+	play := func(lateOf10 int64) units.TokensPerSecond {
+		de, now := scale.NewDemand(), time.Unix(1_000_000, 0)
+		var sum scale.Total
+		for range 40 {
+			de.Report("node-1/1", sum)
+			de.Rate(now)
+			sum.Prompt += 50_000
+			sum.Requests += 10
+			sum.Late += lateOf10
+			now = now.Add(500 * time.Millisecond)
+		}
+		return de.Rate(now)
+	}
+	calm, few, many := play(0), play(1), play(5)
+	if few > calm*1.05 || many < calm*1.8 {
+		t.Errorf("demand: have %.0f with no late answers, %.0f with a tenth, %.0f with half", calm, few, many)
+	}
+}
