--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -12,6 +12,7 @@
 	"lycheepick/internal/edge/engine"
 	"lycheepick/internal/edge/fleet"
 	"lycheepick/internal/edge/gate"
+	"lycheepick/internal/edge/pause"
 	"lycheepick/internal/edge/plain"
 	"lycheepick/internal/edge/quota"
 	"lycheepick/internal/rule/admit"
@@ -206,7 +207,7 @@
 		}
 		// A request that has failed everywhere may try the same servers again.
 		ask.Avoid = nil
-		if now.After(until) || !sleep(ctx, pickPause) {
+		if now.After(until) || !pause.For(ctx, pickPause) {
 			return picked{}, false
 		}
 	}
@@ -265,21 +266,10 @@
 	return nil
 }
 
-func sleep(ctx context.Context, du time.Duration) bool {
-	tm := time.NewTimer(du)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-tm.C:
-		return true
-	}
-}
-
-// pause waits before a retry, with jitter.
-func pause(ctx context.Context, att units.AttemptID) bool {
+// backOff waits before a retry, with jitter.
+func backOff(ctx context.Context, att units.AttemptID) bool {
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return sleep(ctx, retry.Backoff(int(att), rnd))
+	return pause.For(ctx, retry.Backoff(int(att), rnd))
 }
 
 // count adds a final outcome to the totals.
--- a/internal/edge/flow/model.go
+++ b/internal/edge/flow/model.go
@@ -133,7 +133,7 @@
 			return false
 		}
 		ru.fl.Counts.Retries.Add(1)
-		return pause(ctx, ru.ma.Attempt())
+		return backOff(ctx, ru.ma.Attempt())
 	}
 	return fault.Is(err, KindBroken)
 }
--- a/internal/edge/flow/reclaim.go
+++ b/internal/edge/flow/reclaim.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/conc"
 
 	"lycheepick/internal/edge/engine"
+	"lycheepick/internal/edge/pause"
 	"lycheepick/internal/rule/drain"
 	"lycheepick/internal/rule/route"
 	"lycheepick/internal/rule/units"
@@ -125,7 +126,7 @@
 			moved[de.Request] = fl.move(moving, so.VM, de, runs[de.Request])
 		}
 	}
-	if !sleep(ctx, time.Until(last)) {
+	if !pause.For(ctx, time.Until(last)) {
 		return
 	}
 	for _, de := range plan {
--- a/internal/edge/flow/service.go
+++ b/internal/edge/flow/service.go
@@ -47,7 +47,7 @@
 			return nil, &Failure{Outcome: st, After: retryAfter, Err: err}
 		}
 		fl.Counts.Retries.Add(1)
-		pause(ctx, ma.Attempt())
+		backOff(ctx, ma.Attempt())
 	}
 }
 
--- a/internal/fake/stand/balancer.go
+++ b/internal/fake/stand/balancer.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"lycheepick/internal/edge/pause"
 	"lycheepick/internal/rule/fault"
 )
 
@@ -62,7 +63,7 @@
 			}
 		}
 		ba.ready.Store(&list)
-		nap(ctx, checkEvery)
+		pause.For(ctx, checkEvery)
 	}
 }
 
--- a/internal/fake/stand/engine.go
+++ b/internal/fake/stand/engine.go
@@ -14,6 +14,7 @@
 	"github.com/gofiber/fiber/v2"
 
 	"lycheepick/internal/edge/engine"
+	"lycheepick/internal/edge/pause"
 	"lycheepick/internal/plat/httpc"
 	"lycheepick/internal/rule/route"
 	"lycheepick/internal/rule/units"
@@ -240,7 +241,7 @@
 	text := jo.pr.text()
 	count := jo.pr.count()
 	for idx := len(jo.pr.ContinueTokens); idx < count; idx++ {
-		if !nap(ctx, en.scaled(en.cfg.Step)) || !jo.emit(wr, idx, Word(text, idx), "") {
+		if !pause.For(ctx, en.scaled(en.cfg.Step)) || !jo.emit(wr, idx, Word(text, idx), "") {
 			return
 		}
 		jo.grow()
@@ -270,7 +271,7 @@
 	en.queued++
 	en.mu.Unlock()
 	en.prefill.Lock()
-	ok := nap(ctx, en.scaled(time.Duration(float64(fresh)/float64(en.cfg.PrefillRate)*float64(time.Second))))
+	ok := pause.For(ctx, en.scaled(time.Duration(float64(fresh)/float64(en.cfg.PrefillRate)*float64(time.Second))))
 	en.prefill.Unlock()
 	en.mu.Lock()
 	defer en.mu.Unlock()
@@ -330,17 +331,6 @@
 	return du
 }
 
-func nap(ctx context.Context, du time.Duration) bool {
-	tm := time.NewTimer(du)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-tm.C:
-		return true
-	}
-}
-
 type outChunk struct {
 	Object     string      `json:"object"`
 	TokenIndex int         `json:"token_index"`
--- a/internal/fake/stand/load.go
+++ b/internal/fake/stand/load.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lycheepick/internal/edge/call"
+	"lycheepick/internal/edge/pause"
 	"lycheepick/internal/rule/units"
 )
 
@@ -84,7 +85,7 @@
 			break
 		}
 		sh := newShot(&cfg, re, ca, rnd, num)
-		if !nap(ctx, time.Until(began.Add(at))) {
+		if !pause.For(ctx, time.Until(began.Add(at))) {
 			break
 		}
 		wg.Go(func() { sh.fire(ctx) })
--- a/internal/node/entry/duty.go
+++ b/internal/node/entry/duty.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
+	"lycheepick/internal/edge/pause"
 	"lycheepick/internal/plat/stream"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/lease"
@@ -71,7 +72,7 @@
 
 // serveDuties follows the lease, and does what is due while this node holds it.
 func (no *Node) serveDuties(ctx context.Context) {
-	for sleep(ctx, dutyEvery) {
+	for pause.For(ctx, dutyEvery) {
 		if no.pf.OrdersServers {
 			no.followDemand()
 		}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"lycheepick/internal/edge/door"
+	"lycheepick/internal/edge/pause"
 	"lycheepick/internal/edge/relay"
 	"lycheepick/internal/node/config"
 	"lycheepick/internal/peer/pulse"
@@ -235,29 +236,15 @@
 	defer cancel()
 	began := time.Now()
 	no.door.Leave(ctx)
-	sleep(ctx, settleTime-time.Since(began))
+	pause.For(ctx, settleTime-time.Since(began))
 	no.door.Wait(ctx)
 }
 
-func sleep(ctx context.Context, du time.Duration) bool {
-	if du <= 0 {
-		return ctx.Err() == nil
-	}
-	tm := time.NewTimer(du)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-tm.C:
-		return true
-	}
-}
-
 // tickEvery is the time between two looks at what only time changes.
 const tickEvery = 200 * time.Millisecond
 
 func (no *Node) tick(ctx context.Context) {
-	for sleep(ctx, tickEvery) {
+	for pause.For(ctx, tickEvery) {
 		now := time.Now()
 		no.mu.Lock()
 		no.clock.Own(no.steady(), now)
--- a/internal/node/entry/follow.go
+++ b/internal/node/entry/follow.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"lycheepick/internal/edge/pause"
 	"lycheepick/internal/plat/stream"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/units"
@@ -34,7 +35,7 @@
 			}
 			return err
 		})
-		if (stale || err != nil) && !sleep(ctx, retryPause) {
+		if (stale || err != nil) && !pause.For(ctx, retryPause) {
 			return
 		}
 	}
@@ -109,11 +110,11 @@
 			}
 			return err
 		})
-		pause := serversPause
+		rest := serversPause
 		if stale || err != nil {
-			pause = retryPause
+			rest = retryPause
 		}
-		if !sleep(ctx, pause) {
+		if !pause.For(ctx, rest) {
 			return
 		}
 	}
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -7,8 +7,10 @@
 	"sort"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"lycheepick/internal/edge/pause"
 	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/plat/stream"
 	"lycheepick/internal/rule/units"
@@ -55,22 +57,21 @@
 func (no *Node) exchange(ctx context.Context) {
 	client := pulse.NewClient()
 	defer client.Close()
-	no.wg(ctx, no.join)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { no.join(ctx) })
 	for _, addr := range no.set.Seeds {
 		if addr != no.set.Listen.Peers {
-			no.ask(ctx, client, addr)
+			wg.Go(func() { no.ask(ctx, client, addr) })
 		}
 	}
-	for sleep(ctx, exchangeEvery) {
+	for pause.For(ctx, exchangeEvery) {
 		for _, addr := range no.round() {
-			no.wg(ctx, func(ctx context.Context) { no.ask(ctx, client, addr) })
+			wg.Go(func() { no.ask(ctx, client, addr) })
 		}
 	}
 }
 
-// wg runs a task that ends with ctx.
-func (no *Node) wg(ctx context.Context, task func(context.Context)) { go task(ctx) }
-
 // join leaves this node's address in the store and reads those of the others.
 func (no *Node) join(ctx context.Context) {
 	own, err := json.Marshal(pulse.Peer{Node: no.set.VM.ID, Address: no.set.Listen.Peers})
@@ -89,7 +90,7 @@
 			return
 		}
 		no.log.Warn("registration_failed", zap.Error(err))
-		if !sleep(ctx, joinRetry) {
+		if !pause.For(ctx, joinRetry) {
 			return
 		}
 	}
--- a/tools/measure.sh
+++ b/tools/measure.sh
@@ -27,6 +27,6 @@
 part "Retries" bin/measure retry
 part "Reclaim" bin/measure drain
 part "Membership" bin/measure gossip
-cat docs/measured.notes.md >>"$out" 2>/dev/null || true
+cat docs/measured.platform.md docs/measured.notes.md >>"$out" 2>/dev/null || true
 mv "$out" docs/MEASURED.md
 chmod 644 docs/MEASURED.md
