Notice within seconds that reads of the store hang

Now peers tell of each loss and return, reads wait 2.5 s and 4 s, none while the store is lost, and silent connections are probed.

--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -50,8 +50,13 @@
 	Dial, Idle time.Duration
 	// Header bounds the bytes of an answer's head.
 	Header int
+	// Probe is the time between keep-alive probes of a connection on which nothing comes.
+	Probe time.Duration
 }
 
+// probeCount is the number of probes without an answer after which a connection is dead.
+const probeCount = 2
+
 // Caller keeps idle connections to backend servers.
 type Caller struct {
 	opt  Options
@@ -169,6 +174,9 @@
 		}
 	}
 	dl := net.Dialer{Timeout: cl.opt.Dial, Control: detectDeath}
+	if cl.opt.Probe > 0 {
+		dl.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: cl.opt.Probe, Interval: cl.opt.Probe, Count: probeCount}
+	}
 	raw, err := dl.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
--- a/internal/node/entry/contact.go
+++ b/internal/node/entry/contact.go
@@ -15,6 +15,40 @@
 	lost  bool
 	reads map[int]context.CancelFunc
 	next  int
+	// turns counts losses and returns; peers are told, since their reads may hang too.
+	turns int64
+}
+
+// wait returns how long the next read may wait for records: none while the store is lost,
+// so that its return is noticed by the first answer.
+func (co *contact) wait(usual time.Duration) time.Duration {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	if co.lost {
+		return 0
+	}
+	return usual
+}
+
+// restart ends all reads, so that they begin anew on other connections.
+func (co *contact) restart() {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	co.endReads()
+}
+
+func (co *contact) endReads() {
+	for id, cancel := range co.reads {
+		cancel()
+		delete(co.reads, id)
+	}
+}
+
+// count returns the number of losses and returns so far.
+func (co *contact) count() int64 {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	return co.turns
 }
 
 // read makes one read of the store, which ends early when another reader finds the store
@@ -48,10 +82,8 @@
 		return
 	}
 	co.lost = err != nil
-	for id, cancel := range co.reads {
-		cancel()
-		delete(co.reads, id)
-	}
+	co.turns++
+	co.endReads()
 	co.mu.Unlock()
 	no.mu.Lock()
 	defer no.mu.Unlock()
--- a/internal/node/entry/follow.go
+++ b/internal/node/entry/follow.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	// configWait is how long a read of the configuration's stream waits for a record.
-	configWait = 10 * time.Second
-	// serversWait is the same for the list of servers.
-	serversWait = 5 * time.Second
+	// configWait is how long a read of the configuration's stream waits for a record, and
+	// serversWait that of the list of servers. They bound the time until a
+	// store that has fallen silent is noticed where no peer tells.
+	configWait  = 4 * time.Second
+	serversWait = 2500 * time.Millisecond
 	// serversPause gathers the records of several servers in one read.
 	serversPause = 100 * time.Millisecond
 	// retryPause is the pause after a call to the store that failed.
@@ -53,7 +54,8 @@
 }
 
 func (no *Node) readConfig(ctx context.Context, next units.Offset) (units.Offset, error) {
-	page, err := no.pf.Store.Read(ctx, no.pf.Operator, next, configWait)
+	wait := no.contact.wait(configWait)
+	page, err := no.pf.Store.Read(ctx, no.pf.Operator, next, wait)
 	if fault.Is(err, stream.KindExpired) {
 		return -1, nil // Records were dropped: the newest of each key are still there.
 	}
@@ -145,7 +147,8 @@
 	no.mu.Lock()
 	next := no.servers.Next()
 	no.mu.Unlock()
-	page, err := no.pf.Store.Read(ctx, no.pf.Servers, next, serversWait)
+	wait := no.contact.wait(serversWait)
+	page, err := no.pf.Store.Read(ctx, no.pf.Servers, next, wait)
 	if fault.Is(err, stream.KindExpired) {
 		return false, nil
 	}
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -22,6 +22,9 @@
 	// heard is when the peer last answered or asked; tried when it was last asked.
 	heard, tried time.Time
 	lost         bool
+	// life and turns are what the peer last told of its start and of its contact with
+	// the store.
+	life, turns int64
 }
 
 // heardWork is what a peer says of the work offered to it.
@@ -211,7 +214,7 @@
 	loads, sent, admitted := no.relay.Own(time.Now())
 	out := pulse.Report{
 		Peer: pulse.Peer{Node: no.set.VM.ID, Address: no.set.Listen.Peers},
-		Life: no.life, Wall: time.Now().UnixNano(), Holding: no.holding.Load(), Loads: loads, Sent: sent, Admitted: admitted,
+		Life: no.life, Wall: time.Now().UnixNano(), Holding: no.holding.Load(), StoreTurns: no.contact.count(), Loads: loads, Sent: sent, Admitted: admitted,
 	}
 	if fo := no.config.Load(); fo != nil {
 		out.Config = fo.Version
@@ -247,6 +250,10 @@
 		no.log.Info("peer_back", zap.String("peer", string(re.Node)))
 	}
 	pe.heard, pe.address = now, re.Address
+	if pe.life == re.Life && re.StoreTurns > pe.turns {
+		no.contact.restart()
+	}
+	pe.life, pe.turns = re.Life, re.StoreTurns
 	no.ahead = max(no.ahead, re.Servers)
 	if re.Holding {
 		no.duty.heard = now
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -54,6 +54,8 @@
 	Wall int64 `json:"wall"`
 	// Holding is set if the node holds the duties.
 	Holding bool `json:"holding,omitempty"`
+	// StoreTurns counts how often the node has lost the store and reached it again.
+	StoreTurns int64 `json:"store_turns,omitempty"`
 	// Config is the version in force at the node.
 	Config units.Version `json:"config"`
 	// Servers is the offset up to which the node has folded the list of servers.
