Deliver a server's own failure if no other server is left, and refund only what did not run

Found in the last reading: a 500 that a server had made was replaced by 502 if no server was left for the second try; the limit was refunded for requests that may have run.

--- a/internal/edge/door/door.go
+++ b/internal/edge/door/door.go
@@ -129,8 +129,7 @@
 	}
 }
 
-// rest notes that a connection waits for its next request. It returns false if the
-// connection has to end instead.
+// rest notes whether a connection waits for its next request.
 func (sv *Server) rest(li *link, on bool) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
--- a/internal/edge/relay/answer.go
+++ b/internal/edge/relay/answer.go
@@ -27,7 +27,6 @@
 		ru.patience.Stop()
 	}
 	ru.rl.heard(ru.rq.Service, pi)
-	ru.began = true
 	if time.Since(pi.sent) > ru.rq.Route.Target {
 		ru.rl.Meter.Late(ru.rq.Service)
 	}
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -42,7 +42,6 @@
 	// sends counts dispatches, events the pieces passed on.
 	sends, events int
 	lastEvent     string
-	began         bool
 	// last is the latest choice of a server.
 	last picked
 	// patience gives up an attempt that may be repeated and has no answer yet.
@@ -82,7 +81,7 @@
 	}
 	ru.ma.Accept()
 	ru.loop(ctx)
-	if !ru.began {
+	if ru.ma.State() == answer.NotRun {
 		rl.refund(rq)
 	}
 }
@@ -168,6 +167,9 @@
 
 // giveUp ends a request for which there is no further attempt to make.
 func (ru *run) giveUp(status int, reason string, after time.Duration) {
+	if ru.deliverFailure() {
+		return
+	}
 	if ru.ma.GiveUp() == answer.NotRun {
 		ru.rl.refuse(ru.rq, ru.sink, status, reason, after)
 		if ru.last.Server.ID != "" {
@@ -194,12 +196,28 @@
 		zap.Int64("fresh_tokens", int64(pi.Fresh)), zap.Duration("list_age", pi.age))
 }
 
+// deliverFailure sends the caller a server's own answer that it failed, if there is one
+// and nothing better came.
+func (ru *run) deliverFailure() bool {
+	if ru.failure == nil || ru.sink.Started() {
+		return false
+	}
+	reason := ""
+	if err := ru.sink.Whole(ru.failure.head, ru.failure.body); err != nil {
+		reason = err.Error()
+	}
+	ru.ma.GiveUp()
+	ru.rl.Counts.Done.Add(1)
+	ru.log("request_done", reason, ru.sink.Status())
+	return true
+}
+
 // finish tells the caller the end of a request, with err if it has failed.
 func (ru *run) finish(err error) {
-	state := ru.ma.GiveUp()
-	if err != nil && ru.failure != nil && !ru.sink.Started() && !fault.Is(err, KindGone) {
-		err = ru.sink.Whole(ru.failure.head, ru.failure.body)
+	if err != nil && !fault.Is(err, KindGone) && ru.deliverFailure() {
+		return
 	}
+	state := ru.ma.GiveUp()
 	switch {
 	case err == nil:
 		ru.rl.Counts.Done.Add(1)
--- a/internal/node/config/entry.go
+++ b/internal/node/config/entry.go
@@ -30,9 +30,8 @@
 
 // EntryVM says where the node runs.
 type EntryVM struct {
-	ID    units.VMID                    `json:"id"`
-	Zone  units.ZoneID                  `json:"zone"`
-	Zones map[units.ZoneID]units.ZoneID `json:"zones"`
+	ID   units.VMID   `json:"id"`
+	Zone units.ZoneID `json:"zone"`
 }
 
 // EntryListen holds the addresses to listen on, as host:port by IP number.
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -50,7 +50,7 @@
 type Error = fault.Error[Kind]
 
 // Version is the version of the program.
-const Version = "0.1.0"
+const Version = "0.2.0"
 
 // Daemon is one running node.
 type Daemon struct {
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -31,7 +31,6 @@
 type heardWork struct {
 	life    int64
 	offered map[units.TargetID]pulse.Work
-	at      time.Time
 }
 
 const (
@@ -260,7 +259,7 @@
 	}
 	no.clock.Peer(re.Node, no.steady(), time.Unix(0, re.Wall))
 	no.book.Merge(sourceOf(re.Node, re.Life), re.Began)
-	no.heard[re.Node] = &heardWork{life: re.Life, offered: re.Offered, at: now}
+	no.heard[re.Node] = &heardWork{life: re.Life, offered: re.Offered}
 	for _, other := range re.Peers {
 		no.meet(other)
 	}
--- a/internal/rule/place/place.go
+++ b/internal/rule/place/place.go
@@ -58,8 +58,6 @@
 	Fresh units.Tokens
 	// Idle is set if under half of the places of all servers are taken.
 	Idle bool
-	// Fits is the number of tokens that the server would read in a second.
-	Fits units.TokensPerSecond
 }
 
 const (
@@ -173,7 +171,7 @@
 		}
 		if best == nil || score < bestScore {
 			best, bestScore = re, score
-			ch = Choice{Server: re.Server, First: first, Fresh: fresh, Fits: fl.rate}
+			ch = Choice{Server: re.Server, First: first, Fresh: fresh}
 		}
 	}
 	ch.Idle = taken*2 < places
--- a/internal/rule/scale/demand.go
+++ b/internal/rule/scale/demand.go
@@ -44,8 +44,7 @@
 // NewDemand returns a demand of which nothing is known.
 func NewDemand() *Demand { return &Demand{totals: map[string]Total{}} }
 
-// Report notes the total of one start of a node. The first report of a source is taken
-// as its base, unless fresh tells that it has just started.
+// Report notes the total of one start of a node. The first report of a source is its base.
 func (de *Demand) Report(source string, total Total) {
 	before, known := de.totals[source]
 	if known && total.Requests >= before.Requests {
