Reset connections of requests that are given up

Ruled out: the list of servers, all nodes had the removal within 0.2 s. Test: TestGivenUpRequestIsReset, red before (have <nil>, want a reset).

--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return nil, fault.Wrap(op, KindNotSent, err)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	stop := context.AfterFunc(ctx, cn.abort)
 	an := &Answer{cl: cl, cn: cn, addr: addr, stop: stop}
 	if err := ctx.Err(); err != nil {
 		an.discard()
@@ -196,6 +196,16 @@
 	return err
 }
 
+// abort resets the connection. After an ordinary close the kernel goes on sending what a cut
+// link has held up, so that a request which was given up reaches its server seconds later.
+func (cn *conn) abort() {
+	if tc, ok := cn.Conn.(*net.TCPConn); ok {
+		// A connection that is closed already needs no reset.
+		_ = tc.SetLinger(0)
+	}
+	_ = cn.Close()
+}
+
 // isQuiet tells whether an idle connection is open and has nothing to read. Bytes that
 // came after a whole answer belong to no request.
 func (cn *conn) isQuiet() bool {
@@ -270,7 +280,7 @@
 
 func (an *Answer) discard() {
 	an.stop()
-	_ = an.cn.Close()
+	an.cn.abort()
 	an.cn = nil
 }
 
