--- a/internal/edge/door/door.go
+++ b/internal/edge/door/door.go
@@ -177,7 +177,7 @@
 		if status != 0 {
 			an.close = true
 			an.Refuse(status, "bad request: "+errors.Cause(err).Error(), 0)
-			li.hangUp()
+			li.hangUp(refusedTime)
 		}
 		return false
 	}
@@ -190,7 +190,7 @@
 	stop()
 	cancel()
 	if an.close && an.ended {
-		li.hangUp()
+		li.hangUp(hangUpTime)
 	}
 	return an.ended && !an.close
 }
--- a/internal/edge/door/link.go
+++ b/internal/edge/door/link.go
@@ -79,18 +79,20 @@
 }
 
 const (
-	hangUpTime  = 200 * time.Millisecond
-	hangUpBytes = 64 << 10
+	hangUpTime = 200 * time.Millisecond
+	// refusedTime is the same after a request that could not be read, of which more comes.
+	refusedTime = 2 * time.Second
+	hangUpBytes = 8 << 20
 )
 
 // hangUp ends the writing side and reads what the caller still sends, since closing a
 // connection with unread bytes resets it and may take the answer with it.
-func (li *link) hangUp() {
+func (li *link) hangUp(within time.Duration) {
 	tc, ok := li.Conn.(*net.TCPConn)
 	if !ok || tc.CloseWrite() != nil {
 		return
 	}
-	_ = li.SetReadDeadline(time.Now().Add(hangUpTime))
+	_ = li.SetReadDeadline(time.Now().Add(within))
 	buf := make([]byte, 4<<10)
 	for total := 0; total < hangUpBytes; {
 		num, err := li.Conn.Read(buf)
