A few nodes read the store's streams for all

Change: nodes rank each other by a hash of their ids; four, or one in 16, read. The others ask one of them in each round of exchanges, get only what says something new, and read for themselves after 1.2 to 1.7 s without agreement with the store. They take the reader's belief of outages too. Bounds on a peer's silence grow with the fleet, since a pair talks less often; reports name 8 peers in place of all; reader and holder of the duties are asked in each round. Ruled out: readers elected through the store (one more lease to lose), and batches of a longer pause (news would be late at each node).

--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -232,7 +232,7 @@
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	for _, se := range rl.fleets {
-		se.fleet.Peer(now, node, loads)
+		se.fleet.Peer(now, rl.pool.Peers(), node, loads)
 		se.fleet.Holds(now, sent)
 	}
 	rl.pool.Report(now, node, life, used)
--- a/internal/node/entry/duty.go
+++ b/internal/node/entry/duty.go
@@ -56,8 +56,10 @@
 	loaded  bool
 	held    bool
 	renewed time.Duration
-	// heard is when a peer last said that it holds the duty; the node's lock guards it.
+	// heard is when a peer, the holder, last said that it holds the duty; the node's lock
+	// guards them.
 	heard  time.Time
+	holder units.VMID
 	orders orders
 }
 
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -26,6 +26,7 @@
 	"lycheepick/internal/rule/pool"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/rule/usage"
+	"lycheepick/internal/rule/watch"
 	"lycheepick/internal/state/routes"
 	"lycheepick/internal/state/server"
 )
@@ -84,14 +85,16 @@
 	first    metrics.Histogram
 
 	config  atomic.Pointer[inForce]
-	storeAt atomic.Int64 // Steady nanosecond of the last answer of the store about servers.
-	listed  atomic.Bool  // The list of servers was read.
+	listed  atomic.Bool // The list of servers was read.
 	leaving atomic.Bool
 	holding atomic.Bool // This node holds the duties.
+	// draining is the number of servers that are known to leave.
+	draining atomic.Int64
 
 	mu      sync.Mutex // Guards what follows.
 	servers *server.Book
-	records map[string]stream.Keyed
+	records records
+	watch   *watch.Watch
 	// ahead is the offset up to which some peer has read the list of servers, and behind
 	// since when this node has read less.
 	ahead   units.Offset
@@ -117,7 +120,7 @@
 	no := &Node{
 		set: set, pf: pf, log: log, start: now, life: now.UnixNano(),
 		registry: metrics.NewRegistry(), first: metrics.NewHistogram(metrics.NewExpDecaySample(256, 0.015)),
-		servers: server.NewBook(), records: map[string]stream.Keyed{}, peers: map[units.VMID]*peer{},
+		servers: server.NewBook(), records: newRecords(), watch: watch.New(set.VM.ID), peers: map[units.VMID]*peer{},
 		book: usage.NewBook(set.Timing.UsageWindow()), clock: clock.New(),
 		offered: map[units.TargetID]pulse.Work{}, heard: map[units.VMID]*heardWork{},
 	}
--- a/internal/node/entry/follow.go
+++ b/internal/node/entry/follow.go
@@ -15,19 +15,36 @@
 const (
 	// configWait is how long a read of the configuration's stream waits for a record, and
 	// serversWait that of the list of servers. They bound the time until a
-	// store that has fallen silent is noticed where no peer tells.
+	// store that has fallen silent is noticed where no peer tells. What a reader knows is as
+	// old as its last answer, so serversWait is under the patience of those that it tells.
 	configWait  = 4 * time.Second
-	serversWait = 2500 * time.Millisecond
+	serversWait = 800 * time.Millisecond
+	// lookEvery is the time between two looks of a node that need not read at whether it has
+	// to.
+	lookEvery = 100 * time.Millisecond
 	// serversPause gathers the records of several servers in one read.
 	serversPause = 100 * time.Millisecond
 	// retryPause is the pause after a call to the store that failed.
 	retryPause = 250 * time.Millisecond
 )
 
+// mustRead tells whether this node has to read the store's streams itself.
+func (no *Node) mustRead() bool {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	return no.watch.Due(time.Now())
+}
+
 // followConfig keeps the configuration in force up to date.
 func (no *Node) followConfig(ctx context.Context) {
 	next := units.Offset(-1)
 	for ctx.Err() == nil {
+		if next >= 0 && !no.mustRead() {
+			if !pause.For(ctx, lookEvery) {
+				return
+			}
+			continue
+		}
 		stale, err := no.read(ctx, "config", func(ctx context.Context) (err error) {
 			if next < 0 {
 				next, err = no.loadConfig(ctx)
@@ -104,6 +121,12 @@
 func (no *Node) followServers(ctx context.Context) {
 	loaded := false
 	for ctx.Err() == nil {
+		if loaded && !no.mustRead() {
+			if !pause.For(ctx, lookEvery) {
+				return
+			}
+			continue
+		}
 		stale, err := no.read(ctx, "servers", func(ctx context.Context) (err error) {
 			if loaded {
 				loaded, err = no.readServers(ctx)
@@ -123,12 +146,14 @@
 }
 
 func (no *Node) loadServers(ctx context.Context) (bool, error) {
+	asked := time.Now()
 	items, end, err := no.pf.Store.Newest(ctx, no.pf.Servers)
 	if err != nil {
 		return false, err
 	}
 	no.mu.Lock()
 	now := time.Now()
+	no.watch.Agreed(asked)
 	listed := map[units.VMID]bool{}
 	for _, it := range items {
 		listed[units.VMID(it.Key)] = true
@@ -137,7 +162,6 @@
 	no.servers.Missing(now, listed)
 	no.servers.Skip(end)
 	no.mu.Unlock()
-	no.storeAt.Store(int64(no.steady()))
 	no.listed.Store(true)
 	no.publishServers("store_list")
 	return true, nil
@@ -166,8 +190,8 @@
 		}
 	}
 	no.servers.Skip(page.From + units.Offset(len(page.Records)))
+	no.watch.Agreed(now)
 	no.mu.Unlock()
-	no.storeAt.Store(int64(no.steady()))
 	if changed {
 		no.publishServers("store")
 	}
@@ -177,11 +201,11 @@
 // foldServer folds one record; the caller holds the lock.
 func (no *Node) foldServer(now time.Time, it stream.Keyed) bool {
 	id := units.VMID(it.Key)
-	if have, ok := no.records[it.Key]; ok && have.Offset >= it.Offset {
+	if no.records.has(it) {
 		return false
 	}
 	if len(it.Value) == 0 {
-		no.records[it.Key] = it
+		no.records.put(it, true)
 		if no.servers.Remove(now, it.Offset, id) {
 			no.log.Info("server_removed", zap.String("server", it.Key), zap.Int64("offset", int64(it.Offset)))
 			return true
@@ -193,8 +217,9 @@
 		no.log.Warn("server_entry_unreadable", zap.String("server", it.Key), zap.Int64("offset", int64(it.Offset)), zap.Error(err))
 		return false
 	}
-	no.records[it.Key] = it
-	return no.servers.Put(now, it.Offset, id, ac)
+	changed := no.servers.Put(now, it.Offset, id, ac)
+	no.records.put(it, changed)
+	return changed
 }
 
 // publishServers makes the list of servers known to the request path.
@@ -210,6 +235,7 @@
 			draining++
 		}
 	}
+	no.draining.Store(int64(draining))
 	no.log.Info("servers_changed", zap.Int("servers", len(list)), zap.Int("draining", draining),
 		zap.Int64("offset", int64(next)), zap.String("source", source))
 }
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
-	"sort"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -14,6 +12,7 @@
 	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/plat/stream"
 	"lycheepick/internal/rule/units"
+	"lycheepick/internal/rule/watch"
 )
 
 // peer is a node that this one exchanges reports with.
@@ -36,16 +35,13 @@
 const (
 	// nodesStream is where nodes leave their addresses for those that start later.
 	nodesStream stream.Name = "keyed.nodes"
-	// exchangeEvery is the time between two rounds of exchanges. Both sides learn from
-	// one, so a node hears of each peer twice in this time.
-	exchangeEvery = 300 * time.Millisecond
-	// roundPeers bounds the peers asked in a round, so that the cost of a node does not
-	// grow with the fleet.
-	roundPeers = 8
+	// toldPeers bounds the peers that a report names, chosen by chance: a node that starts
+	// finds the others in the store, and they find it by its questions.
+	toldPeers = 8
 	// slowEvery is the time between two questions to a peer that does not answer.
 	slowEvery = 2 * time.Second
-	// lostTime is the silence after which a peer counts as lost, forgetTime that after
-	// which it is forgotten.
+	// lostTime is the silence after which a peer of a small fleet counts as lost, forgetTime
+	// that after which it is forgotten.
 	lostTime   = 2500 * time.Millisecond
 	forgetTime = 40 * time.Second
 	// aheadTime is how long a peer may have read more of the list of servers than this
@@ -67,8 +63,8 @@
 			wg.Go(func() { no.ask(ctx, client, addr) })
 		}
 	}
-	for pause.For(ctx, exchangeEvery) {
-		for _, addr := range no.round() {
+	for number := uint64(0); pause.For(ctx, watch.RoundEvery); number++ {
+		for _, addr := range no.round(number) {
 			wg.Go(func() { no.ask(ctx, client, addr) })
 		}
 	}
@@ -126,43 +122,47 @@
 }
 
 // round returns the addresses to ask now: all of a small fleet, some of a large one.
-func (no *Node) round() []string {
+func (no *Node) round(number uint64) []string {
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	now := time.Now()
-	var out []string
+	var alive, asked []units.VMID
+	limit := watch.Silence(lostTime, len(no.peers))
 	for id, pe := range no.peers {
 		silence := now.Sub(pe.heard)
 		switch {
 		case silence > forgetTime:
 			delete(no.peers, id)
 			continue
-		case silence > lostTime && !pe.lost:
+		case silence > limit && !pe.lost:
 			pe.lost = true
 			no.log.Warn("peer_lost", zap.String("peer", string(id)), zap.Duration("silence", silence))
 		}
-		if pe.lost && now.Sub(pe.tried) < slowEvery {
-			continue
+		if !pe.lost {
+			alive = append(alive, id)
+		}
+		if !pe.lost || now.Sub(pe.tried) >= slowEvery {
+			asked = append(asked, id)
 		}
-		out = append(out, pe.address)
 	}
-	sort.Strings(out)
-	rand.Shuffle(len(out), func(one, two int) { out[one], out[two] = out[two], out[one] })
-	return out[:min(len(out), roundPeers)]
+	no.watch.Plan(alive)
+	var out []string
+	for _, id := range no.watch.Round(number, no.duty.holder, asked) {
+		out = append(out, no.peers[id].address)
+	}
+	return out
 }
 
 // ask makes one exchange with the peer at addr.
 func (no *Node) ask(ctx context.Context, client *pulse.Client, addr string) {
-	no.mu.Lock()
-	for _, pe := range no.peers {
-		if pe.address == addr {
-			pe.tried = time.Now()
-		}
-	}
-	no.mu.Unlock()
-	qu := &pulse.Question{Report: no.report(), WantServers: no.isBehind()}
+	asked := time.Now()
+	id := no.tried(asked, addr)
+	qu := &pulse.Question{Report: no.report(), WantServers: no.wantsServers(id)}
 	re, err := client.Exchange(ctx, addr, qu)
 	if err != nil {
+		no.mu.Lock()
+		no.watch.Failed(id)
+		no.mu.Unlock()
 		no.log.Debug("exchange_failed", zap.String("peer", addr), zap.Error(err))
 		return
 	}
@@ -170,15 +170,30 @@
 	if len(re.RawConfig) > 0 {
 		no.takeConfig(re.RawConfig, "peer "+string(re.Node))
 	}
-	if qu.WantServers {
-		no.takeServers(re, qu.Servers)
+	no.takeServers(re, asked)
+}
+
+// tried notes that a peer is asked, and returns which.
+func (no *Node) tried(now time.Time, addr string) units.VMID {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	for id, pe := range no.peers {
+		if pe.address == addr {
+			pe.tried = now
+			return id
+		}
 	}
+	return ""
 }
 
-// isBehind tells whether a peer has read more of the list of servers for a while.
-func (no *Node) isBehind() bool {
+// wantsServers tells whether a peer is asked for what is new of the servers: the reader
+// that this node relies on always is, others once they have read more for a while.
+func (no *Node) wantsServers(id units.VMID) bool {
 	no.mu.Lock()
 	defer no.mu.Unlock()
+	if no.listed.Load() && !no.watch.Reads() && id == no.watch.Teller() {
+		return true
+	}
 	if no.servers.Next() >= no.ahead {
 		no.behind = time.Time{}
 		return false
@@ -189,20 +204,32 @@
 	return time.Since(no.behind) >= aheadTime
 }
 
-// takeServers folds the records that a peer has read from the store.
-func (no *Node) takeServers(re *pulse.Reply, from units.Offset) {
-	if re.Servers <= from {
-		return
-	}
+// takeServers folds what a peer, asked at a time, knows of the servers.
+func (no *Node) takeServers(re *pulse.Reply, asked time.Time) {
 	no.mu.Lock()
 	now := time.Now()
+	agreed := asked.Add(-re.Agreed)
+	whole := re.Whole || no.servers.Next() >= re.Servers
+	if whole && now.Sub(agreed) < no.watch.Age(now) {
+		if !no.watch.Reads() || no.contact.isLost() {
+			no.servers.Hear(now, re.Outage)
+		}
+		no.watch.Agreed(agreed)
+	}
 	changed := false
+	listed := map[units.VMID]bool{}
 	for _, it := range re.Records {
 		changed = no.foldServer(now, it) || changed
+		listed[units.VMID(it.Key)] = true
+	}
+	if re.Listing {
+		changed = no.servers.Missing(now, listed) || changed
+	}
+	if re.Whole {
+		no.servers.Skip(re.Servers)
+		no.listed.Store(true)
 	}
-	no.servers.Skip(re.Servers)
 	no.mu.Unlock()
-	no.listed.Store(true)
 	if changed {
 		no.publishServers("peer " + string(re.Node))
 	}
@@ -210,7 +237,8 @@
 
 // report says what this node knows of itself.
 func (no *Node) report() pulse.Report {
-	loads, sent, admitted := no.relay.Own(time.Now())
+	now := time.Now()
+	loads, sent, admitted := no.relay.Own(now)
 	out := pulse.Report{
 		Peer: pulse.Peer{Node: no.set.VM.ID, Address: no.set.Listen.Peers},
 		Life: no.life, Wall: time.Now().UnixNano(), Holding: no.holding.Load(), StoreTurns: no.contact.count(), Loads: loads, Sent: sent, Admitted: admitted,
@@ -220,13 +248,17 @@
 	}
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	out.Servers = no.servers.Next()
+	out.Servers, out.Agreed = no.servers.Next(), no.watch.Age(now)
+	out.Outage = no.servers.Outage(now)
 	out.Began = no.book.Source(no.source())
 	out.Offered = make(map[units.TargetID]pulse.Work, len(no.offered))
 	for id, wo := range no.offered {
 		out.Offered[id] = wo
 	}
 	for id, pe := range no.peers {
+		if len(out.Peers) == toldPeers { // The order of a map is by chance.
+			break
+		}
 		if !pe.lost {
 			out.Peers = append(out.Peers, pulse.Peer{Node: id, Address: pe.address})
 		}
@@ -255,7 +287,7 @@
 	pe.life, pe.turns = re.Life, re.StoreTurns
 	no.ahead = max(no.ahead, re.Servers)
 	if re.Holding {
-		no.duty.heard = now
+		no.duty.heard, no.duty.holder = now, re.Node
 	}
 	no.clock.Peer(re.Node, no.steady(), time.Unix(0, re.Wall))
 	no.book.Merge(sourceOf(re.Node, re.Life), re.Began)
@@ -272,22 +304,13 @@
 	if fo := no.config.Load(); fo != nil && fo.Version > qu.Config {
 		out.RawConfig = fo.raw
 	}
-	if qu.WantServers {
-		out.Records = no.recordsSince(qu.Servers)
-	}
-	return out
-}
-
-// recordsSince returns the records of servers from an offset on, in order.
-func (no *Node) recordsSince(off units.Offset) []stream.Keyed {
-	no.mu.Lock()
-	defer no.mu.Unlock()
-	var out []stream.Keyed
-	for _, it := range no.records {
-		if it.Offset >= off {
-			out = append(out, it)
-		}
+	if qu.WantServers && qu.Servers < out.Servers {
+		no.mu.Lock()
+		defer no.mu.Unlock()
+		// The list may have gone on since the report was made.
+		out.Servers = no.servers.Next()
+		out.Records, out.Listing = no.records.since(qu.Servers)
+		out.Whole = true
 	}
-	sort.Slice(out, func(one, two int) bool { return out[one].Offset < out[two].Offset })
 	return out
 }
--- a/internal/node/entry/ready.go
+++ b/internal/node/entry/ready.go
@@ -63,8 +63,19 @@
 			}
 			return 0
 		},
-		"store_age_ms": func() int64 {
-			return (no.steady() - time.Duration(no.storeAt.Load())).Milliseconds()
+		"servers_age_ms": func() int64 {
+			no.mu.Lock()
+			defer no.mu.Unlock()
+			return no.watch.Age(time.Now()).Milliseconds()
+		},
+		"servers_draining": no.draining.Load,
+		"reads_store": func() int64 {
+			no.mu.Lock()
+			defer no.mu.Unlock()
+			if no.watch.Reads() {
+				return 1
+			}
+			return 0
 		},
 	} {
 		// The names are distinct, so registration can't fail.
--- /dev/null
+++ b/internal/node/entry/record_test.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	"lycheepick/internal/plat/stream"
+	"lycheepick/internal/rule/units"
+)
+
+func TestRecordsSince(t *testing.T) {
+	full := []byte("{}")
+	for _, tt := range []struct {
+		name string
+		play func(re *records)
+		from units.Offset
+		want string
+	}{
+		{"an account", func(re *records) {
+			re.put(stream.Keyed{Key: "a", Value: full, Offset: 3}, true)
+		}, 2, "a@3 "},
+		{"an account from before", func(re *records) {
+			re.put(stream.Keyed{Key: "a", Value: full, Offset: 3}, true)
+		}, 4, ""},
+		{"a renewal says nothing new", func(re *records) {
+			re.put(stream.Keyed{Key: "a", Value: full, Offset: 3}, true)
+			re.put(stream.Keyed{Key: "a", Value: full, Offset: 5}, false)
+		}, 4, ""},
+		{"to one who lacks it the latest renewal is told", func(re *records) {
+			re.put(stream.Keyed{Key: "a", Value: full, Offset: 3}, true)
+			re.put(stream.Keyed{Key: "a", Value: full, Offset: 5}, false)
+		}, 2, "a@5 "},
+		{"a removal", func(re *records) {
+			re.put(stream.Keyed{Key: "a", Value: full, Offset: 3}, true)
+			re.put(stream.Keyed{Key: "a", Offset: 5}, true)
+		}, 4, "a@5 "},
+		{"a return after a removal that was not believed", func(re *records) {
+			re.put(stream.Keyed{Key: "a", Value: full, Offset: 3}, true)
+			re.put(stream.Keyed{Key: "a", Offset: 5}, true)
+			re.put(stream.Keyed{Key: "a", Value: full, Offset: 6}, false)
+		}, 6, "a@6 "},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			re := newRecords()
+			tt.play(&re)
+			items, listing := re.since(tt.from)
+			have := ""
+			for _, it := range items {
+				have += fmt.Sprintf("%s@%d ", it.Key, it.Offset)
+			}
+			if have != tt.want || listing {
+				t.Errorf("have %q, listing %t, want %q", have, listing, tt.want)
+			}
+		})
+	}
+}
+
+// Removals are remembered up to a bound. Who asks for what is no longer remembered gets
+// the whole list, so that no removed server stays with it.
+func TestOldRemovalsAreForgotten(t *testing.T) {
+	re := newRecords()
+	re.put(stream.Keyed{Key: "stays", Value: []byte("{}"), Offset: 0}, true)
+	for num := range units.Offset(mostRemoved + 10) {
+		re.put(stream.Keyed{Key: fmt.Sprint(num), Offset: num + 1}, true)
+	}
+	if have := len(re.byKey); have != mostRemoved+1 {
+		t.Errorf("records kept: have %d, want %d", have, mostRemoved+1)
+	}
+	if items, listing := re.since(5); !listing || items[0].Key != "stays" {
+		t.Errorf("listing: have %t from %v, want the whole list", listing, items[0])
+	}
+	if _, listing := re.since(11); listing {
+		t.Error("what is remembered is told as a whole list")
+	}
+}
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -21,6 +21,7 @@
 	"lycheepick/internal/rule/pool"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/rule/usage"
+	"lycheepick/internal/state/server"
 )
 
 // Kind tells why an exchange failed.
@@ -58,8 +59,12 @@
 	StoreTurns int64 `json:"store_turns,omitempty"`
 	// Config is the version in force at the node.
 	Config units.Version `json:"config"`
-	// Servers is the offset up to which the node has folded the list of servers.
-	Servers units.Offset `json:"servers"`
+	// Servers is the offset up to which the node has folded the list of servers, and
+	// Agreed the time since that list agreed with the store.
+	Servers units.Offset  `json:"servers"`
+	Agreed  time.Duration `json:"agreed"`
+	// Outage is what the node believes of the store.
+	Outage server.Outage `json:"outage,omitzero"`
 	// Loads are the node's own requests at each server.
 	Loads map[units.VMID]place.Load `json:"loads,omitempty"`
 	// Sent are the shared parts of prompts that the node has lately sent to each server.
@@ -70,7 +75,7 @@
 	Began usage.Windows `json:"began,omitempty"`
 	// Offered is the work that callers have brought since the node's start.
 	Offered map[units.TargetID]Work `json:"offered,omitempty"`
-	// Peers are the nodes that this node exchanges with.
+	// Peers are some of the nodes that this node exchanges with.
 	Peers []Peer `json:"peers,omitempty"`
 }
 
@@ -84,8 +89,7 @@
 // Question is one side of an exchange.
 type Question struct {
 	Report
-	// WantServers asks for the records of servers from Report.Servers on, by a node that
-	// has not heard from the store for a while.
+	// WantServers asks for the records of servers that have changed from Report.Servers on.
 	WantServers bool `json:"want_servers,omitempty"`
 }
 
@@ -94,8 +98,12 @@
 	Report
 	// RawConfig is the configuration if the asker's is older.
 	RawConfig []byte `json:"raw_config,omitempty"`
-	// Records are the records of servers that the asker lacks, in order.
+	// Records are the records of servers that say something new to the asker, in order.
 	Records []stream.Keyed `json:"records,omitempty"`
+	// Whole is set if nothing is missing between the asker's offset and Report.Servers, and
+	// Listing if Records name all servers, so that those not named are gone.
+	Whole   bool `json:"whole,omitempty"`
+	Listing bool `json:"listing,omitempty"`
 }
 
 const (
--- a/internal/rule/place/fleet.go
+++ b/internal/rule/place/fleet.go
@@ -5,6 +5,7 @@
 
 	"lycheepick/internal/rule/retry"
 	"lycheepick/internal/rule/units"
+	"lycheepick/internal/rule/watch"
 	"lycheepick/internal/state/server"
 )
 
@@ -25,8 +26,9 @@
 	fl.byID = next
 }
 
-// Peer notes what a peer reports of its own work.
-func (fl *Fleet) Peer(now time.Time, node units.VMID, loads map[units.VMID]Load) {
+// Peer notes what a peer, one of so many, reports of its own work.
+func (fl *Fleet) Peer(now time.Time, nodes int, node units.VMID, loads map[units.VMID]Load) {
+	fl.nodes = nodes
 	for id, re := range fl.byID {
 		if lo, ok := loads[id]; ok && lo != (Load{}) {
 			re.peers[node] = peerLoad{Load: lo, at: now}
@@ -77,9 +79,10 @@
 // age of its report.
 func (fl *Fleet) total(now time.Time, re *replica) Load {
 	out := re.own
+	limit := watch.Silence(peerTime, fl.nodes)
 	for node, pl := range re.peers {
 		age := now.Sub(pl.at)
-		if age > peerTime {
+		if age > limit {
 			delete(re.peers, node)
 			continue
 		}
--- a/internal/rule/place/place.go
+++ b/internal/rule/place/place.go
@@ -89,7 +89,7 @@
 	muteTime = 900 * time.Millisecond
 	// muteFor is how long a mute server is avoided before one request tries it again.
 	muteFor = 2 * time.Second
-	// peerTime is how long a peer's report counts.
+	// peerTime is how long a report counts in a small fleet of nodes.
 	peerTime = 2 * time.Second
 	// knownParts bounds the parts remembered for a server.
 	knownParts = 2048
@@ -130,7 +130,9 @@
 	replicas []*replica
 	byID     map[units.VMID]*replica
 	last     Ticket
-	recent   []sending
+	// nodes is the number of peers that report.
+	nodes  int
+	recent []sending
 }
 
 // sending is a part that this node has sent to a server.
--- a/internal/rule/pool/pool.go
+++ b/internal/rule/pool/pool.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"lycheepick/internal/rule/units"
+	"lycheepick/internal/rule/watch"
 )
 
 // Limit is what a customer may use over all nodes, in units a second.
@@ -50,7 +51,8 @@
 	// rateTime is the time constant of a peer's smoothed rate. Two reports may be only
 	// milliseconds apart.
 	rateTime = 400 * time.Millisecond
-	// silentTime is the age of a report from which on a peer counts as silent.
+	// silentTime is the age of a report from which on a peer of a small fleet counts as
+	// silent.
 	silentTime = 1500 * time.Millisecond
 	// goneTime is the age of a report from which on a peer no longer counts.
 	goneTime = 15 * time.Second
@@ -141,20 +143,26 @@
 
 // silent takes note of what silent peers are assumed to have used in the last gap.
 func (bu *bucket) silent(now time.Time, gap time.Duration, peers map[units.VMID]*peer) float64 {
-	total := 0.0
+	total, limit := 0.0, silence(peers)
 	for id, pe := range peers {
 		age := now.Sub(pe.at)
-		if age <= silentTime || age > goneTime {
+		if age <= limit || age > goneTime {
 			continue
 		}
 		us := bu.usage(id)
-		part := max(us.rate, bu.equal(peers)) * min(gap, age-silentTime).Seconds()
+		part := max(us.rate, bu.equal(peers)) * min(gap, age-limit).Seconds()
 		us.assumed += part
 		total += part
 	}
 	return total
 }
 
+// silence is the age of a report from which on a peer counts as silent.
+func silence(peers map[units.VMID]*peer) time.Duration { return watch.Silence(silentTime, len(peers)) }
+
+// Peers returns the number of peers that were ever heard or expected.
+func (po *Pool) Peers() int { return len(po.peers) }
+
 func (bu *bucket) usage(id units.VMID) *usage {
 	us := bu.peers[id]
 	if us == nil {
@@ -225,11 +233,11 @@
 // unseen estimates what peers have taken since their last reports, but for what was
 // assumed of silent ones.
 func (bu *bucket) unseen(now time.Time, peers map[units.VMID]*peer) float64 {
-	total := 0.0
+	total, limit := 0.0, silence(peers)
 	for id, pe := range peers {
 		age := now.Sub(pe.at)
 		if us := bu.peers[id]; us != nil && age <= goneTime {
-			total += us.rate * min(age, silentTime).Seconds()
+			total += us.rate * min(age, limit).Seconds()
 		}
 	}
 	return total
@@ -250,7 +258,7 @@
 // taken to be cut off and to serve.
 func (po *Pool) Expect(now time.Time, node units.VMID) {
 	if po.peers[node] == nil {
-		po.peers[node] = &peer{at: now.Add(-silentTime)}
+		po.peers[node] = &peer{at: now.Add(-silence(po.peers))}
 	}
 }
 
--- a/internal/state/server/server.go
+++ b/internal/state/server/server.go
@@ -47,6 +47,16 @@
 // A single broken connection is none.
 const lapseLeast = time.Second
 
+// Outage is what a node believes of the store's last outage. Nodes that don't read the
+// store take it from the one that reads for them.
+type Outage struct {
+	// Lost is set while the store is not reached.
+	Lost bool `json:"lost,omitempty"`
+	// Back is the time since it was reached again, if entries may have lapsed in the outage
+	// and may not be back yet; otherwise 0.
+	Back time.Duration `json:"back,omitempty"`
+}
+
 // tombTime is how long a removed or draining life is remembered.
 const tombTime = time.Minute
 
@@ -96,6 +106,29 @@
 	bo.down = false
 }
 
+// Outage returns what peers are told of the store's last outage.
+func (bo *Book) Outage(now time.Time) Outage {
+	out := Outage{Lost: bo.down}
+	if age := now.Sub(bo.back); age < lapseGrace {
+		out.Back = max(age, time.Nanosecond)
+	}
+	return out
+}
+
+// Hear takes a peer's belief of the store's last outage in place of this node's own.
+func (bo *Book) Hear(now time.Time, ou Outage) {
+	if ou.Lost {
+		bo.StoreDown(now)
+		return
+	}
+	bo.down = false
+	if ou.Back > 0 {
+		if back := now.Add(-ou.Back); back.After(bo.back) {
+			bo.back = back
+		}
+	}
+}
+
 // Put folds an account read at off. It returns true if the list of usable servers or
 // what is known of them changed.
 func (bo *Book) Put(now time.Time, off units.Offset, id units.VMID, ac Account) bool {
--- a/internal/state/server/server_test.go
+++ b/internal/state/server/server_test.go
@@ -57,6 +57,24 @@
 			bo.Put(at(5000), 2, "i-1", server.Account{Service: "model", Sequence: 6})
 			bo.Tick(at(9000))
 		}, 1},
+		{"a removal after an outage that a peer tells of may be a lapse", func(bo *server.Book) {
+			bo.Hear(at(4000), server.Outage{Back: time.Second})
+			bo.Remove(at(4010), 1, "i-1")
+		}, 1},
+		{"a server that stays away after such an outage is gone", func(bo *server.Book) {
+			bo.Hear(at(4000), server.Outage{Back: time.Second})
+			bo.Remove(at(4010), 1, "i-1")
+			bo.Tick(at(5400))
+		}, 0},
+		{"a removal while a peer finds the store lost may be a lapse", func(bo *server.Book) {
+			bo.Hear(at(4000), server.Outage{Lost: true})
+			bo.Remove(at(4010), 1, "i-1")
+		}, 1},
+		{"a removal told by a peer that the store serves counts at once", func(bo *server.Book) {
+			bo.StoreDown(at(10))
+			bo.Hear(at(4000), server.Outage{})
+			bo.Remove(at(4010), 1, "i-1")
+		}, 0},
 		// DRAIN, hunt of bvid-lycheepick: one broken connection was taken for an outage.
 		{"one broken connection is no outage", func(bo *server.Book) {
 			bo.StoreDown(at(10))
