--- a/internal/edge/serve/framing_test.go
+++ b/internal/edge/serve/framing_test.go
@@ -13,7 +13,8 @@
 	"lycheepick/internal/edge/serve"
 )
 
-// TestFraming sends requests whose body could be seen to end at two places.
+// TestFraming sends requests whose body could be seen to end at two places, and one whose
+// header is too large.
 func TestFraming(t *testing.T) {
 	sv := serve.New(context.Background(), nil, &flow.Flow{}, serve.Limits{Body: 1 << 20, Header: 8 << 10, Connections: 16})
 	ls, err := net.Listen("tcp", "127.0.0.1:0")
@@ -25,12 +26,14 @@
 	go func() { _ = sv.Listen(addr) }()
 	t.Cleanup(func() { _ = sv.Shutdown(time.Second) })
 	const head = "POST /v1/completions HTTP/1.1\r\nHost: a\r\n"
-	for _, text := range []string{
-		head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-		head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+	for _, tt := range []struct{ name, text, want string }{
+		{"length and chunks", head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"},
+		{"two lengths", head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "400"},
+		// The rest of it arrives after the answer, which a reset would take away.
+		{"a huge header", head + "X-A: " + strings.Repeat("a", 1<<20) + "\r\n\r\n", "431"},
 	} {
-		if have := firstLine(t, addr, text); !strings.Contains(have, " 400 ") {
-			t.Errorf("have %q, want 400", have)
+		if have := firstLine(t, addr, tt.text); !strings.Contains(have, " "+tt.want+" ") {
+			t.Errorf("%s: have %q, want %s", tt.name, have, tt.want)
 		}
 	}
 }
@@ -50,8 +53,13 @@
 	}
 	defer func() { _ = cn.Close() }()
 	_ = cn.SetDeadline(time.Now().Add(10 * time.Second))
-	if _, err := io.WriteString(cn, text); err != nil {
-		t.Fatal(err)
+	for len(text) > 0 { // In pieces, as they arrive over a network.
+		num := min(len(text), 64<<10)
+		if _, err := io.WriteString(cn, text[:num]); err != nil {
+			return "broken: " + err.Error()
+		}
+		text = text[num:]
+		time.Sleep(time.Millisecond)
 	}
 	line, _ := bufio.NewReader(cn).ReadString('\n')
 	return line
--- a/internal/edge/serve/server.go
+++ b/internal/edge/serve/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
@@ -28,6 +29,8 @@
 	KindNoRow Kind = "no_row"
 	// KindBadRequest marks a request that can't be read.
 	KindBadRequest Kind = "bad_request"
+	// KindListen marks an address that can't be listened on.
+	KindListen Kind = "listen"
 	// KindNotReady marks a request to a node that has no table or is leaving.
 	KindNotReady Kind = "not_ready"
 	// KindSessionLost marks a reconnection to a request that no node holds.
@@ -123,7 +126,13 @@
 }
 
 // Listen answers callers at addr until Shutdown.
-func (sv *Server) Listen(addr string) error { return sv.app.Listen(addr) }
+func (sv *Server) Listen(addr string) error {
+	ls, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fault.Wrap("serve.Listen", KindListen, err)
+	}
+	return sv.app.Listener(door.Linger(ls))
+}
 
 // Shutdown stops listening and waits for the requests in progress.
 func (sv *Server) Shutdown(within time.Duration) error { return sv.app.ShutdownWithTimeout(within) }
