Believe an outage of the store only if it served nobody

Ruled out: late news of the removal (0.42 s at most). Change: outages are a node's own; one during which a peer's list agreed with the store is none. Readers tell only how long ago the store came back.

--- a/internal/node/entry/contact.go
+++ b/internal/node/entry/contact.go
@@ -44,13 +44,6 @@
 	}
 }
 
-// isLost tells whether the last call to the store failed.
-func (co *contact) isLost() bool {
-	co.mu.Lock()
-	defer co.mu.Unlock()
-	return co.lost
-}
-
 // count returns the number of losses and returns so far.
 func (co *contact) count() int64 {
 	co.mu.Lock()
@@ -86,11 +79,6 @@
 	co.mu.Lock()
 	if co.lost == (err != nil) {
 		co.mu.Unlock()
-		if err == nil {
-			no.mu.Lock()
-			defer no.mu.Unlock()
-			no.servers.StoreUp(time.Now()) // A peer may have told that the store is lost.
-		}
 		return
 	}
 	co.lost = err != nil
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -212,8 +212,9 @@
 	agreed := asked.Add(-re.Agreed)
 	whole := re.Whole || no.servers.Next() >= re.Servers
 	if whole && now.Sub(agreed) < no.watch.Age(now) {
-		if !no.watch.Reads() || no.contact.isLost() {
-			no.servers.Hear(now, re.Outage)
+		no.servers.Served(agreed)
+		if !no.watch.Reads() {
+			no.servers.HearBack(now, re.StoreBack)
 		}
 		no.watch.Agreed(agreed)
 	}
@@ -250,7 +251,7 @@
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	out.Servers, out.Agreed = no.servers.Next(), no.watch.Age(now)
-	out.Outage = no.servers.Outage(now)
+	out.StoreBack = no.servers.Back(now)
 	out.Began = no.book.Source(no.source())
 	out.Offered = make(map[units.TargetID]pulse.Work, len(no.offered))
 	for id, wo := range no.offered {
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -21,7 +21,6 @@
 	"lycheepick/internal/rule/pool"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/rule/usage"
-	"lycheepick/internal/state/server"
 )
 
 // Kind tells why an exchange failed.
@@ -63,8 +62,9 @@
 	// Agreed the time since that list agreed with the store.
 	Servers units.Offset  `json:"servers"`
 	Agreed  time.Duration `json:"agreed"`
-	// Outage is what the node believes of the store.
-	Outage server.Outage `json:"outage,omitzero"`
+	// StoreBack is the time since the store came back from an outage in which entries of
+	// servers may have lapsed, while they may not be back yet.
+	StoreBack time.Duration `json:"store_back,omitempty"`
 	// Loads are the node's own requests at each server.
 	Loads map[units.VMID]place.Load `json:"loads,omitempty"`
 	// Sent are the shared parts of prompts that the node has lately sent to each server.
--- a/internal/state/server/server.go
+++ b/internal/state/server/server.go
@@ -47,16 +47,6 @@
 // A single broken connection is none.
 const lapseLeast = time.Second
 
-// Outage is what a node believes of the store's last outage. Nodes that don't read the
-// store take it from the one that reads for them.
-type Outage struct {
-	// Lost is set while the store is not reached.
-	Lost bool `json:"lost,omitempty"`
-	// Back is the time since it was reached again, if entries may have lapsed in the outage
-	// and may not be back yet; otherwise 0.
-	Back time.Duration `json:"back,omitempty"`
-}
-
 // tombTime is how long a removed or draining life is remembered.
 const tombTime = time.Minute
 
@@ -106,26 +96,27 @@
 	bo.down = false
 }
 
-// Outage returns what peers are told of the store's last outage.
-func (bo *Book) Outage(now time.Time) Outage {
-	out := Outage{Lost: bo.down}
-	if age := now.Sub(bo.back); age < lapseGrace {
-		out.Back = max(age, time.Nanosecond)
+// Served notes that the store has answered a peer at a time. If that was after this node
+// lost it, the store was not away: no entry has lapsed.
+func (bo *Book) Served(at time.Time) {
+	if bo.down && at.After(bo.lost) {
+		bo.down = false
 	}
-	return out
 }
 
-// Hear takes a peer's belief of the store's last outage in place of this node's own.
-func (bo *Book) Hear(now time.Time, ou Outage) {
-	if ou.Lost {
-		bo.StoreDown(now)
-		return
+// Back returns the time since the store was reached again after an outage, while entries
+// that lapsed in it may not be back yet; otherwise 0.
+func (bo *Book) Back(now time.Time) time.Duration {
+	if age := now.Sub(bo.back); age < lapseGrace {
+		return max(age, time.Nanosecond)
 	}
-	bo.down = false
-	if ou.Back > 0 {
-		if back := now.Add(-ou.Back); back.After(bo.back) {
-			bo.back = back
-		}
+	return 0
+}
+
+// HearBack takes the same from the peer that reads the store for this node.
+func (bo *Book) HearBack(now time.Time, back time.Duration) {
+	if at := now.Add(-back); back > 0 && at.After(bo.back) {
+		bo.back = at
 	}
 }
 
