--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -7,6 +7,7 @@
 
 usage: measure COMMAND [OPTIONS]
 
+  crowd    the decisions of a whole fleet of nodes under the worst loads
   route    routing policies on the same workloads
   admit    goodput under overload
   limits   use of a limit under skewed arrivals
@@ -20,6 +21,7 @@
 `
 
 type args struct {
+	Crowd  *crowdCmd  `arg:"subcommand:crowd"`
 	Route  *routeCmd  `arg:"subcommand:route"`
 	Admit  *admitCmd  `arg:"subcommand:admit"`
 	Limits *limitsCmd `arg:"subcommand:limits"`
--- /dev/null
+++ b/internal/bench/crowd/crowd_test.go
@@ -0,0 +1,46 @@
+package crowd_test
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"lycheepick/internal/bench/crowd"
+)
+
+// TestRunsRepeat plays each load twice at a small size: the same seed gives the same result,
+// and every request has one outcome.
+func TestRunsRepeat(t *testing.T) {
+	for _, lo := range crowd.Loads() {
+		for _, naive := range []bool{false, true} {
+			se := crowd.Setup{Nodes: 8, Servers: 12, Naive: naive, Load: lo, For: 16 * time.Second, Seed: 1}
+			one, two := crowd.Run(se), crowd.Run(se)
+			if !reflect.DeepEqual(one, two) {
+				t.Errorf("%s: two runs differ", lo.Name)
+			}
+			if have := one.InTime + one.Late + one.Refused + one.Lost; have != one.Asked {
+				t.Errorf("%s: have %d outcomes, want %d", lo.Name, have, one.Asked)
+			}
+		}
+	}
+}
+
+// TestAgainstNaive wants more requests in time than the naive decisions give, under each
+// load, and the limits kept.
+func TestAgainstNaive(t *testing.T) {
+	for _, lo := range crowd.Loads() {
+		for seed := range uint64(3) {
+			se := crowd.Setup{Nodes: 8, Servers: 12, Load: lo, For: 16 * time.Second, Seed: seed}
+			ours := crowd.Run(se)
+			se.Naive = true
+			naive := crowd.Run(se)
+			t.Logf("%s, seed %d: in time %d against %d of %d", lo.Name, seed, ours.InTime, naive.InTime, ours.Asked)
+			if ours.InTime <= naive.InTime {
+				t.Errorf("%s, seed %d: in time: have %d, want more than %d", lo.Name, seed, ours.InTime, naive.InTime)
+			}
+			if ours.Over > 1 {
+				t.Errorf("%s, seed %d: admitted beyond the limit: have %.2f of what is allowed", lo.Name, seed, ours.Over)
+			}
+		}
+	}
+}
