Three homes for each shared part, of all servers

The one home of a part was among servers on demand alone, half of the fleet. Change: three servers of all by rendezvous hashing; 40 ms surcharge for each next one, 80 ms for all others.

--- a/internal/bench/crowd/crowd_test.go
+++ b/internal/bench/crowd/crowd_test.go
@@ -44,3 +44,20 @@
 		}
 	}
 }
+
+// TestBurstAtALargeFleet replays quiet-1 of the grown bbsw-austin, in which a pair of nodes
+// talks once a second and each reads of loads that have changed since: with one home for
+// each part, 3 drafts in 10 of a burst came late. The bound is the users' target.
+func TestBurstAtALargeFleet(t *testing.T) {
+	for _, lo := range crowd.Loads() {
+		if lo.Name != "burst" {
+			continue
+		}
+		re := crowd.Run(crowd.Setup{Nodes: 48, Servers: 66, Load: lo, For: 7 * time.Second, Seed: 1})
+		share := float64(re.InTime) / float64(re.Asked)
+		t.Logf("in time %.3f, read %.2f of what is needed", share, float64(re.Read)/float64(re.Needed))
+		if share < 0.95 {
+			t.Errorf("share in time: have %.3f, want 0.95 or more", share)
+		}
+	}
+}
--- a/internal/rule/place/place.go
+++ b/internal/rule/place/place.go
@@ -77,9 +77,10 @@
 	missWeight = 0.7
 	// zoneTime is the surcharge for a server in another zone, whose bytes are priced.
 	zoneTime = 3 * time.Millisecond
-	// homeTime is the surcharge for a server that is not the one on which all nodes agree
-	// for a prompt, so that nodes that read the same part at once read it there.
-	homeTime = 25 * time.Millisecond
+	// nextHomeTime is the surcharge for each home of a prompt after the first, awayTime that
+	// for all other servers.
+	nextHomeTime = 40 * time.Millisecond
+	awayTime     = 80 * time.Millisecond
 	// errorTime is the surcharge for a server all of whose answers are failures.
 	errorTime = 2 * time.Second
 	// errorWeight is the weight of one answer in the smoothed share of failures.
@@ -149,7 +150,7 @@
 
 // Choose picks a server. ok is false if none is usable.
 func (fl *Fleet) Choose(now time.Time, ask *Ask) (ch Choice, ok bool) {
-	home := fl.home(now, ask)
+	homes := fl.homes(now, ask)
 	var best *replica
 	var bestScore time.Duration
 	taken, places := 0, 0
@@ -168,9 +169,7 @@
 		if re.Zone != ask.Zone {
 			score += zoneTime
 		}
-		if re != home {
-			score += homeTime
-		}
+		score += homes.away(re)
 		if best == nil || score < bestScore {
 			best, bestScore = re, score
 			ch = Choice{Server: re.Server, First: first, Fresh: fresh}
@@ -211,23 +210,46 @@
 	return total
 }
 
-// home returns the server on which all nodes agree for a prompt's shared parts.
-func (fl *Fleet) home(now time.Time, ask *Ask) *replica {
+// mostHomes is the number of servers on which all nodes agree for a prompt.
+const mostHomes = 3
+
+// homes are the servers on which all nodes agree for a prompt's shared parts, the first
+// one first.
+type homes [mostHomes]*replica
+
+// homes returns the homes of a prompt.
+func (fl *Fleet) homes(now time.Time, ask *Ask) (out homes) {
 	if len(ask.Parts) < 2 {
-		return nil
+		return out
 	}
 	key := ask.Parts[len(ask.Parts)-2].ID
-	var best *replica
-	var bestRank uint64
+	var ranks [mostHomes]uint64
 	for _, re := range fl.replicas {
-		if !fl.usable(now, re) || re.Spot {
+		if !fl.usable(now, re) {
 			continue
 		}
-		if rank := rendezvous(key, re.ID); best == nil || rank > bestRank {
-			best, bestRank = re, rank
+		rank := rendezvous(key, re.ID)
+		for pos := range out {
+			if out[pos] != nil && rank <= ranks[pos] {
+				continue
+			}
+			copy(out[pos+1:], out[pos:mostHomes-1])
+			copy(ranks[pos+1:], ranks[pos:mostHomes-1])
+			out[pos], ranks[pos] = re, rank
+			break
+		}
+	}
+	return out
+}
+
+// away is the surcharge for a server that is not the first home of a prompt.
+func (ho *homes) away(re *replica) time.Duration {
+	for pos := range ho {
+		if ho[pos] == re {
+			return time.Duration(pos) * nextHomeTime
 		}
 	}
-	return best
+	return awayTime
 }
 
 func rendezvous(key PartID, id units.VMID) uint64 {
