--- a/internal/edge/relay/schedule_test.go
+++ b/internal/edge/relay/schedule_test.go
@@ -49,24 +49,21 @@
 	out := outcome(rapid.IntRange(0, int(outcomes)-1).Draw(sc.rt, "outcome"))
 	hd := &fasthttp.ResponseHeader{}
 	rp := &relay.Reply{Status: fasthttp.StatusOK, Proper: true, Head: hd, Close: func() {}}
-	switch out {
-	case notSent:
+	if out == notSent {
 		return nil, fault.New("test", relay.KindNotSent, "connection refused")
-	case refused:
+	}
+	if out == refused {
 		rp.Status, rp.Refused = fasthttp.StatusServiceUnavailable, true
 		return rp, nil
 	}
 	sc.runs++
-	switch out {
-	case unsigned:
-		rp.Proper = false
-	case fails:
+	if out == broken && rapid.Bool().Draw(sc.rt, "before the answer") {
+		return nil, fault.New("test", relay.KindBroken, "the connection broke")
+	}
+	if out == fails {
 		rp.Status = fasthttp.StatusInternalServerError
-	case broken:
-		if rapid.Bool().Draw(sc.rt, "before the answer") {
-			return nil, fault.New("test", relay.KindBroken, "the connection broke")
-		}
 	}
+	rp.Proper = out != unsigned
 	hd.SetStatusCode(rp.Status)
 	text := "answer"
 	if sc.stream && rp.Status == fasthttp.StatusOK {
@@ -75,7 +72,7 @@
 			text = eventsAfter(at.LastEvent)
 		}
 	}
-	end := error(io.EOF)
+	end := io.EOF
 	if out == broken {
 		end = io.ErrUnexpectedEOF
 		text = text[:rapid.IntRange(0, len(text)-1).Draw(sc.rt, "bytes")]
