--- a/internal/bench/crowd/crowd.go
+++ b/internal/bench/crowd/crowd.go
@@ -130,7 +130,9 @@
 
 type run struct {
 	Setup
-	rnd     *rand.Rand
+	// arrivals draws requests, rnd the rest: fleets with other decisions get the same requests.
+	arrivals, rnd *rand.Rand
+
 	now     time.Time
 	agenda  agenda
 	order   int
@@ -150,7 +152,10 @@
 
 // Run replays one load.
 func Run(se Setup) Result {
-	ru := &run{Setup: se, rnd: rand.New(rand.NewPCG(se.Seed, 17)), now: epoch, own: 1 << 24, seen: map[place.PartID]bool{}}
+	ru := &run{
+		Setup: se, arrivals: rand.New(rand.NewPCG(se.Seed, 17)), rnd: rand.New(rand.NewPCG(se.Seed, 18)),
+		now: epoch, own: 1 << 24, seen: map[place.PartID]bool{},
+	}
 	ru.re.Seconds = make([]Second, int(se.For/time.Second)+1)
 	for num := range se.Servers {
 		ru.engines = append(ru.engines, newEngine(num))
@@ -160,7 +165,6 @@
 	}
 	ru.listServers()
 	// Nodes have found each other and their buckets are full when callers come.
-	ru.at(-settle, func() { ru.now = epoch.Add(-settle) })
 	for num, no := range ru.nodes {
 		ru.at(-settle+time.Duration(num)*roundEvery/time.Duration(se.Nodes), no.exchange)
 	}
@@ -212,21 +216,21 @@
 		rate *= ru.Load.Factor(ru.since())
 	}
 	rate *= (hot + customers - 1) / customers
-	ru.in(time.Duration(ru.rnd.ExpFloat64()/rate*float64(time.Second)), ru.arrive)
+	ru.in(time.Duration(ru.arrivals.ExpFloat64()/rate*float64(time.Second)), ru.arrive)
 	rq := ru.newRequest(hot)
 	se := rq.second()
 	se.Asked++
 	ru.re.Asked++
-	ru.nodes[ru.rnd.IntN(len(ru.nodes))].serve(rq)
+	ru.nodes[ru.arrivals.IntN(len(ru.nodes))].serve(rq)
 }
 
 func (ru *run) newRequest(hot float64) *request {
-	customer := ru.rnd.IntN(customers)
-	if ru.rnd.Float64() < (hot-1)/(hot+customers-1) {
+	customer := ru.arrivals.IntN(customers)
+	if ru.arrivals.Float64() < (hot-1)/(hot+customers-1) {
 		customer = 0
 	}
-	thing := ru.rnd.IntN(thingsPerServer * ru.Servers)
-	if ru.Load.HotKey != nil && ru.rnd.Float64() < ru.Load.HotKey(ru.since()) {
+	thing := ru.arrivals.IntN(thingsPerServer * ru.Servers)
+	if ru.Load.HotKey != nil && ru.arrivals.Float64() < ru.Load.HotKey(ru.since()) {
 		thing = 0
 	}
 	ru.own++
