--- a/internal/rule/pool/pool_test.go
+++ b/internal/rule/pool/pool_test.go
@@ -354,3 +354,21 @@
 		t.Errorf("have %d in time and %d late, want more than %d and less than half of %d", ours, oursLate, naive, naiveLate)
 	}
 }
+
+// BenchmarkReport takes in one report at a node of a fleet with 16 customers.
+func BenchmarkReport(b *testing.B) {
+	for _, count := range []int{8, 64, 360} {
+		b.Run(fmt.Sprint(count, " nodes"), func(b *testing.B) {
+			po, limits, totals := pool.New(tolerance), map[units.CustomerID]pool.Limit{}, pool.Totals{}
+			for num := range 16 {
+				limits[units.CustomerID(fmt.Sprint(num))], totals[units.CustomerID(fmt.Sprint(num))] = limit, 1
+			}
+			po.SetLimits(start, limits)
+			now := start
+			for num := 0; b.Loop(); num++ {
+				now = now.Add(time.Millisecond)
+				po.Report(now, units.VMID(fmt.Sprint("node-", num%(count-1))), 1, totals)
+			}
+		})
+	}
+}
