--- a/tools/measure.sh
+++ b/tools/measure.sh
@@ -22,6 +22,8 @@
 part "Idempotency keys" bin/measure keys
 part "Routing at the sizes of today" bin/measure route
 part "Routing at the design size" bin/measure route --size design --for 10s
+part "The decisions of a whole fleet" bin/measure crowd --plots docs/plots
+part "The decisions of a large fleet" bin/measure crowd --nodes 64 --servers 89 --for 12s --plots docs/plots
 part "Admission under overload" bin/measure admit
 part "Limits" bin/measure limits
 part "Retries" bin/measure retry
