A list is up to date only where its page ends with the stream; plainer names

Cause (by reading, not seen to fail): a node that catches up in several pages told its peers after the first one that its list agreed with the store. Ruled out: nothing else reads pages; the configuration's stream is not told of so. Also: a node asks its Reader (was Teller).

--- a/internal/node/entry/follow.go
+++ b/internal/node/entry/follow.go
@@ -189,8 +189,11 @@
 			changed = no.foldServer(now, it) || changed
 		}
 	}
-	no.servers.Skip(page.From + units.Offset(len(page.Records)))
-	no.watch.Agreed(now)
+	end := page.From + units.Offset(len(page.Records))
+	no.servers.Skip(end)
+	if end >= page.End { // A page may end before the stream does.
+		no.watch.Agreed(now)
+	}
 	no.mu.Unlock()
 	if changed {
 		no.publishServers("store")
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -127,7 +127,7 @@
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	now := time.Now()
-	var alive, asked []units.VMID
+	var alive, due []units.VMID
 	limit := watch.Silence(lostTime, len(no.peers))
 	for id, pe := range no.peers {
 		silence := now.Sub(pe.heard)
@@ -143,12 +143,12 @@
 			alive = append(alive, id)
 		}
 		if !pe.lost || now.Sub(pe.tried) >= slowEvery {
-			asked = append(asked, id)
+			due = append(due, id)
 		}
 	}
 	no.watch.Plan(alive)
 	var out []string
-	for _, id := range no.watch.Round(number, no.duty.holder, asked) {
+	for _, id := range no.watch.Round(number, no.duty.holder, due) {
 		out = append(out, no.peers[id].address)
 	}
 	return out
@@ -192,7 +192,7 @@
 func (no *Node) wantsServers(id units.VMID) bool {
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	if no.listed.Load() && !no.watch.Reads() && id == no.watch.Teller() {
+	if no.listed.Load() && !no.watch.Reads() && id == no.watch.Reader() {
 		return true
 	}
 	if no.servers.Next() >= no.ahead {
@@ -243,7 +243,8 @@
 	wo := no.relay.Own(now)
 	out := pulse.Report{
 		Peer: pulse.Peer{Node: no.set.VM.ID, Address: no.set.Listen.Peers},
-		Life: no.life, Wall: time.Now().UnixNano(), Holding: no.holding.Load(), StoreTurns: no.contact.count(), Loads: wo.Loads, Sent: wo.Sent, Admitted: wo.Admitted, Heard: wo.Heard,
+		Life: no.life, Wall: now.UnixNano(), Holding: no.holding.Load(), StoreTurns: no.contact.count(),
+		Loads: wo.Loads, Sent: wo.Sent, Admitted: wo.Admitted, Heard: wo.Heard,
 	}
 	if fo := no.config.Load(); fo != nil {
 		out.Config = fo.Version
@@ -254,8 +255,8 @@
 	out.StoreBack = no.servers.Back(now)
 	out.Began = no.book.Source(no.source())
 	out.Offered = make(map[units.TargetID]pulse.Work, len(no.offered))
-	for id, wo := range no.offered {
-		out.Offered[id] = wo
+	for id, of := range no.offered {
+		out.Offered[id] = of
 	}
 	for id, pe := range no.peers {
 		if len(out.Peers) == toldPeers { // The order of a map is by chance.
--- a/internal/rule/watch/watch.go
+++ b/internal/rule/watch/watch.go
@@ -38,8 +38,8 @@
 type Watch struct {
 	own   units.VMID
 	reads bool
-	// tellers are the readers in the order in which this node asks them.
-	tellers []units.VMID
+	// readers are the other nodes that read, in the order in which this node asks them.
+	readers []units.VMID
 	failed  int
 	agreed  time.Time
 }
@@ -54,12 +54,12 @@
 	sort.Slice(nodes, func(one, two int) bool { return rank(nodes[one]) < rank(nodes[two]) })
 	count := min(len(nodes), max(leastReaders, (len(nodes)+nodesPerReader-1)/nodesPerReader))
 	wa.reads = false
-	wa.tellers = wa.tellers[:0]
+	wa.readers = wa.readers[:0]
 	for _, no := range nodes[:count] {
 		if no == wa.own {
 			wa.reads = true
 		} else {
-			wa.tellers = append(wa.tellers, no)
+			wa.readers = append(wa.readers, no)
 		}
 	}
 }
@@ -67,17 +67,17 @@
 // Reads tells whether this node reads for others.
 func (wa *Watch) Reads() bool { return wa.reads }
 
-// Teller returns the reader that this node asks, empty if there is none.
-func (wa *Watch) Teller() units.VMID {
-	if len(wa.tellers) == 0 {
+// Reader returns the reader that this node asks, empty if there is none.
+func (wa *Watch) Reader() units.VMID {
+	if len(wa.readers) == 0 {
 		return ""
 	}
-	return wa.tellers[(rank(wa.own)+uint64(wa.failed))%uint64(len(wa.tellers))]
+	return wa.readers[(rank(wa.own)+uint64(wa.failed))%uint64(len(wa.readers))]
 }
 
 // Failed notes that a reader gave no answer; the next one is asked.
-func (wa *Watch) Failed(teller units.VMID) {
-	if teller == wa.Teller() {
+func (wa *Watch) Failed(reader units.VMID) {
+	if reader == wa.Reader() {
 		wa.failed++
 	}
 }
@@ -122,7 +122,7 @@
 	return small + missed*(Gap(peers)-Gap(0))
 }
 
-// Shuffle orders nodes by chance, from a seed.
+// shuffle orders nodes by chance, from a seed.
 func shuffle(ids []units.VMID, seed uint64) {
 	key := func(id units.VMID) uint64 {
 		var buf [8]byte
@@ -148,7 +148,7 @@
 	shuffle(ids, number^rank(wa.own))
 	if (number+rank(wa.own))%(1+uint64(len(peers))/fixedNodes) == 0 {
 		front(ids, holder)
-		front(ids, wa.Teller())
+		front(ids, wa.Reader())
 	}
 	return ids[:min(len(ids), RoundPeers)]
 }
--- a/internal/rule/watch/watch_test.go
+++ b/internal/rule/watch/watch_test.go
@@ -74,15 +74,15 @@
 func TestNextReaderIsAskedAfterAFailure(t *testing.T) {
 	wa := watch.New("node-1")
 	wa.Plan(fleet(64)[2:])
-	first := wa.Teller()
+	first := wa.Reader()
 	wa.Failed(first)
-	if wa.Teller() == first {
+	if wa.Reader() == first {
 		t.Errorf("%s is asked again", first)
 	}
-	second := wa.Teller()
+	second := wa.Reader()
 	wa.Failed(first) // A late failure of the one before says nothing of this one.
-	if wa.Teller() != second {
-		t.Errorf("have %s, want %s", wa.Teller(), second)
+	if wa.Reader() != second {
+		t.Errorf("have %s, want %s", wa.Reader(), second)
 	}
 }
 
