--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -94,6 +94,8 @@
 	Header fasthttp.ResponseHeader
 	// Body is the decoded body, without chunk framing.
 	Body *Body
+	// SentAt is when the request had been handed to the kernel.
+	SentAt time.Time
 
 	cl        *Caller
 	cn        *conn
@@ -121,6 +123,7 @@
 		an.discard()
 		return nil, fault.Wrap(op, KindBroken, err)
 	}
+	an.SentAt = time.Now()
 	if err := an.readHead(); err != nil {
 		an.discard()
 		return nil, fault.Wrap(op, KindBroken, err)
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -88,6 +88,8 @@
 	// Authentic is set if the response carries the mark of the backend server, so that it
 	// doesn't come from an intermediary.
 	Authentic bool
+	// SentAt is when the request had been handed to the kernel.
+	SentAt time.Time
 	Head      *fasthttp.ResponseHeader
 	Body      io.Reader
 	// Close releases the connection.
@@ -144,6 +146,8 @@
 	ObserveFirstByte func(time.Duration)
 
 	draining atomic.Pointer[drainCutoffs]
+	// syncedAt is when the list of servers last matched the store, in Unix nanoseconds.
+	syncedAt atomic.Int64
 
 	mu     sync.Mutex
 	fleets map[units.TargetID]*service
@@ -221,6 +225,9 @@
 	}
 }
 
+// SetSynced records that the list of servers matched the store at a time.
+func (rl *Relay) SetSynced(at time.Time) { rl.syncedAt.Store(at.UnixNano()) }
+
 // SetLimits replaces the customers' rate limits.
 func (rl *Relay) SetLimits(now time.Time, co *routes.Config) {
 	limits := map[units.CustomerID]pool.Limit{}
@@ -347,9 +354,10 @@
 type picked struct {
 	place.Choice
 	ticket place.Ticket
-	// listAge is the age of the server list, sent the time of dispatch.
-	listAge time.Duration
-	sent    time.Time
+	// listAge is the time since the server list last changed, serversAge the time since it
+	// last matched the store, sent the time of dispatch.
+	listAge, serversAge time.Duration
+	sent                time.Time
 }
 
 // choose selects a server and records the dispatch. send decides from the predicted
@@ -359,6 +367,7 @@
 	defer rl.mu.Unlock()
 	se := rl.service(id)
 	pi.listAge = now.Sub(se.listReadAt)
+	pi.serversAge = now.Sub(time.Unix(0, rl.syncedAt.Load()))
 	pi.Choice, found = se.fleet.Choose(now, ask)
 	if !found || !send(&pi.Choice) {
 		return pi, found, false
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -45,8 +45,10 @@
 	sends, events int
 	// lastEvent is the ID of the last event forwarded.
 	lastEvent string
-	// last is the most recently selected server.
-	last picked
+	// last is the most recently selected server, and unsent the time from its selection until
+	// the request was handed to the kernel, 0 if there was no answer.
+	last   picked
+	unsent time.Duration
 	// firstByteTimer cancels a retryable attempt whose response has not started.
 	firstByteTimer *time.Timer
 	// result is recorded with the server's health if the attempt got a response.
@@ -199,7 +201,8 @@
 		zap.Uint64("config", uint64(rq.Config)), zap.String("reason", reason), zap.Int("status", status),
 		zap.Int("sends", ru.sends), zap.Int("events", ru.events), zap.Duration("took", time.Since(rq.Arrived)),
 		zap.String("server", string(pi.Server.ID)), zap.Duration("predicted", pi.FirstToken),
-		zap.Int64("fresh_tokens", int64(pi.Uncached)), zap.Duration("list_age", pi.listAge))
+		zap.Int64("fresh_tokens", int64(pi.Uncached)), zap.Duration("list_age", pi.listAge),
+		zap.Duration("servers_age", pi.serversAge), zap.Duration("unsent", ru.unsent))
 }
 
 // deliverFailure sends the caller the server's error response of an earlier attempt, if
@@ -299,12 +302,14 @@
 		defer ru.firstByteTimer.Stop()
 	}
 	ru.rl.Counts.Sent.Add(1)
+	ru.unsent = 0
 	sentAt := time.Now()
 	rp, err := ru.ex.Send(ctx, &Attempt{Server: pi.Server, Deadline: ru.rq.Deadline, Priority: ru.rq.Priority, LastEvent: ru.lastEvent})
 	if err != nil {
 		return ru.why(callerCtx, ctx, err)
 	}
 	defer rp.Close()
+	ru.unsent = rp.SentAt.Sub(pi.sent)
 	if rp.Refused || rp.Misdirected {
 		ru.rl.Counts.Refused.Add(1)
 		return fault.New(op, KindRefused, "server %s refused with status %d", pi.Server.ID, rp.Status)
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -110,6 +110,7 @@
 	peerWork      map[units.VMID]*peerWork
 
 	storeHealth storeHealth
+	exchanges   exchangeStats
 	leader      leaderState
 }
 
@@ -194,7 +195,7 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { no.logListenerError("callers", no.door.Serve(work, callers)) })
 	wg.Go(func() { no.logListenerError("ready", no.readyServer().Serve(work, ready)) })
-	wg.Go(func() { no.logListenerError("peers", pulse.Serve(work, peers, no.handleExchange)) })
+	wg.Go(func() { no.logListenerError("peers", pulse.Serve(work, peers, no.handleExchange, &no.exchanges.traffic)) })
 	if no.settings.Listen.Metrics != "" {
 		wg.Go(func() { no.serveMetrics(work) })
 	}
--- a/internal/node/entry/follow.go
+++ b/internal/node/entry/follow.go
@@ -115,7 +115,7 @@
 		was = before.Version
 	}
 	no.log.Info("config_in_force", zap.Uint64("config", uint64(co.Version)), zap.Uint64("before", uint64(was)),
-		zap.String("source", source), zap.Int("routes", len(co.Routes)))
+		zap.String("source", source), zap.Int("routes", len(co.Routes)), zap.Int("bytes", len(raw)))
 }
 
 // followServers tails the records of backend servers and updates the list of servers.
@@ -154,11 +154,11 @@
 	}
 	no.mu.Lock()
 	now := time.Now()
-	no.watch.Synced(asked)
+	no.setSynced(asked)
 	listed := map[units.VMID]bool{}
 	for _, it := range items {
 		listed[units.VMID(it.Key)] = true
-		no.foldServer(now, it)
+		no.foldServer(now, it, "store")
 	}
 	no.servers.Reconcile(now, listed)
 	no.servers.SkipTo(end)
@@ -187,13 +187,13 @@
 		off := page.From + units.Offset(idx)
 		it, ok := no.platform.DecodeRecord(off, rec)
 		if ok {
-			changed = no.foldServer(now, it) || changed
+			changed = no.foldServer(now, it, "store") || changed
 		}
 	}
 	end := page.From + units.Offset(len(page.Records))
 	no.servers.SkipTo(end)
 	if end >= page.End { // The list is up to date only if the page reaches the end of the stream.
-		no.watch.Synced(now)
+		no.setSynced(now)
 	}
 	no.mu.Unlock()
 	if changed {
@@ -202,9 +202,15 @@
 	return true, nil
 }
 
+// setSynced records that the list of servers matched the store at a time. The caller holds mu.
+func (no *Node) setSynced(at time.Time) {
+	no.watch.Synced(at)
+	no.relay.SetSynced(no.watch.SyncedAt())
+}
+
 // foldServer folds one server record and reports whether the list changed. The caller holds
 // mu.
-func (no *Node) foldServer(now time.Time, it stream.Keyed) bool {
+func (no *Node) foldServer(now time.Time, it stream.Keyed, source string) bool {
 	id := units.VMID(it.Key)
 	if no.records.has(it) {
 		return false
@@ -212,9 +218,13 @@
 	if len(it.Value) == 0 {
 		no.records.put(it, true)
 		if no.servers.Remove(now, it.Offset, id) {
-			no.log.Info("server_removed", zap.String("server", it.Key), zap.Int64("offset", int64(it.Offset)))
+			no.log.Info("server_removed", zap.String("server", it.Key), zap.Int64("offset", int64(it.Offset)), zap.String("source", source))
 			return true
 		}
+		if left := no.servers.HeldBack(now, id); left > 0 {
+			no.log.Info("removal_held_back", zap.String("server", it.Key), zap.Int64("offset", int64(it.Offset)), zap.String("source", source),
+				zap.Duration("left", left), zap.Duration("since_recovery", no.servers.SinceRecovery(now)))
+		}
 		return false
 	}
 	st, err := no.platform.DecodeServer(it.Value)
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -49,13 +50,34 @@
 	// maxLag is how long this node may be behind a peer in the list of servers before it asks
 	// peers for the rest: by then the store likely serves the peer and not this node.
 	maxLag = 250 * time.Millisecond
+	// exchangeLogRounds is the number of rounds between two log lines about exchanges.
+	exchangeLogRounds = 10
 	// registerRetryDelay is the pause between two attempts to register in the store.
 	registerRetryDelay = time.Second
 )
 
+// exchangeStats counts this node's exchanges with its peers, for one log line in a while.
+type exchangeStats struct {
+	calls, failed, configsSent, configsReceived atomic.Int64
+	lastError                                   atomic.Pointer[error]
+	traffic                                     pulse.Traffic
+}
+
+// logExchanges logs what has been counted since the last call.
+func (no *Node) logExchanges() {
+	ex := &no.exchanges
+	var err error
+	if last := ex.lastError.Swap(nil); last != nil {
+		err = *last
+	}
+	no.log.Info("exchanges", zap.Int64("calls", ex.calls.Swap(0)), zap.Int64("failed", ex.failed.Swap(0)),
+		zap.Int64("configs_sent", ex.configsSent.Swap(0)), zap.Int64("configs_received", ex.configsReceived.Swap(0)),
+		zap.Int64("bytes_sent", ex.traffic.Sent.Swap(0)), zap.Int64("bytes_received", ex.traffic.Received.Swap(0)), zap.Error(err))
+}
+
 // exchangeLoop registers the node and exchanges reports with its peers until ctx ends.
 func (no *Node) exchangeLoop(ctx context.Context) {
-	client := pulse.NewClient()
+	client := pulse.NewClient(&no.exchanges.traffic)
 	defer client.Close()
 	var wg conc.WaitGroup
 	defer wg.Wait()
@@ -66,6 +88,9 @@
 		}
 	}
 	for number := uint64(0); pause.For(ctx, watch.RoundInterval); number++ {
+		if number%exchangeLogRounds == 0 {
+			no.logExchanges()
+		}
 		for _, addr := range no.roundAddrs(number) {
 			wg.Go(func() { no.exchangeWith(ctx, client, addr) })
 		}
@@ -162,17 +187,21 @@
 func (no *Node) exchangeWith(ctx context.Context, client *pulse.Client, addr string) {
 	asked := time.Now()
 	id := no.markAsked(asked, addr)
+	no.exchanges.calls.Add(1)
 	rq := &pulse.Request{Report: no.report(), WantServers: no.wantsServers(id)}
 	re, err := client.Exchange(ctx, addr, rq)
 	if err != nil {
 		no.mu.Lock()
 		no.watch.ReaderFailed(id)
 		no.mu.Unlock()
+		no.exchanges.failed.Add(1)
+		no.exchanges.lastError.Store(&err)
 		no.log.Debug("exchange_failed", zap.String("peer", addr), zap.Error(err))
 		return
 	}
 	no.applyReport(&re.Report)
 	if len(re.RawConfig) > 0 {
+		no.exchanges.configsReceived.Add(1)
 		no.applyConfig(re.RawConfig, "peer "+string(re.Node))
 	}
 	no.applyServers(re, asked)
@@ -222,12 +251,12 @@
 		if !no.watch.IsReader() {
 			no.servers.NotePeerRecovery(now, re.SinceStoreOutage)
 		}
-		no.watch.Synced(synced)
+		no.setSynced(synced)
 	}
 	changed := false
 	listed := map[units.VMID]bool{}
 	for _, it := range re.Records {
-		changed = no.foldServer(now, it) || changed
+		changed = no.foldServer(now, it, "peer "+string(re.Node)) || changed
 		listed[units.VMID(it.Key)] = true
 	}
 	if re.Snapshot {
@@ -313,6 +342,7 @@
 	out := &pulse.Reply{Report: no.report()}
 	if fo := no.config.Load(); fo != nil && fo.Version > rq.Config {
 		out.RawConfig = fo.raw
+		no.exchanges.configsSent.Add(1)
 	}
 	if rq.WantServers && rq.Servers < out.Servers {
 		no.mu.Lock()
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -126,22 +127,33 @@
 	maxIdlePerPeer = 1
 )
 
-type jsonEncoding struct{}
+// Traffic counts the bytes of the messages that a node sends and receives.
+type Traffic struct{ Sent, Received atomic.Int64 }
+
+type jsonEncoding struct{ traffic *Traffic }
 
 // Marshal implements drpc.Encoding.
-func (jsonEncoding) Marshal(msg drpc.Message) ([]byte, error) { return json.Marshal(msg) }
+func (en jsonEncoding) Marshal(msg drpc.Message) ([]byte, error) {
+	raw, err := json.Marshal(msg)
+	en.traffic.Sent.Add(int64(len(raw)))
+	return raw, err
+}
 
 // Unmarshal implements drpc.Encoding.
-func (jsonEncoding) Unmarshal(raw []byte, msg drpc.Message) error { return json.Unmarshal(raw, msg) }
+func (en jsonEncoding) Unmarshal(raw []byte, msg drpc.Message) error {
+	en.traffic.Received.Add(int64(len(raw)))
+	return json.Unmarshal(raw, msg)
+}
 
 // Client calls peers and keeps idle connections for reuse.
 type Client struct {
-	pool *drpcpool.Pool[string, drpcpool.Conn]
+	pool     *drpcpool.Pool[string, drpcpool.Conn]
+	encoding jsonEncoding
 }
 
-// NewClient returns a client without connections.
-func NewClient() *Client {
-	return &Client{pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+// NewClient returns a client without connections that counts its messages in tr.
+func NewClient(tr *Traffic) *Client {
+	return &Client{encoding: jsonEncoding{tr}, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 		Expiration: idleTimeout, Capacity: maxIdleConns, KeyCapacity: maxIdlePerPeer,
 	})}
 }
@@ -153,7 +165,7 @@
 	defer cancel()
 	cn := cl.pool.Get(ctx, addr, dial)
 	var out Reply
-	if err := cn.Invoke(ctx, exchangeMethod, jsonEncoding{}, rq, &out); err != nil {
+	if err := cn.Invoke(ctx, exchangeMethod, cl.encoding, rq, &out); err != nil {
 		return nil, fault.Wrap(op, KindFailed, err)
 	}
 	return &out, nil
@@ -174,24 +186,30 @@
 // Handler handles one exchange that a peer started. Calls may be concurrent.
 type Handler func(rq *Request) *Reply
 
+// handler adapts a Handler to drpc.
+type handler struct {
+	handle   Handler
+	encoding jsonEncoding
+}
+
 // HandleRPC implements drpc.Handler.
-func (ha Handler) HandleRPC(st drpc.Stream, rpc string) error {
+func (ha handler) HandleRPC(st drpc.Stream, rpc string) error {
 	const op = "pulse.HandleRPC"
 	if rpc != exchangeMethod {
 		return fault.New(op, KindFailed, "unknown method %.40q", rpc)
 	}
 	var rq Request
-	if err := st.MsgRecv(&rq, jsonEncoding{}); err != nil {
+	if err := st.MsgRecv(&rq, ha.encoding); err != nil {
 		return fault.Wrap(op, KindFailed, err)
 	}
-	return fault.Wrap(op, KindFailed, st.MsgSend(ha(&rq), jsonEncoding{}))
+	return fault.Wrap(op, KindFailed, st.MsgSend(ha.handle(&rq), ha.encoding))
 }
 
 // Serve accepts connections of peers on ls until ctx ends, then closes ls, waits until
-// the open connections have ended, and returns nil.
-func Serve(ctx context.Context, ls net.Listener, ha Handler) error {
+// the open connections have ended, and returns nil. It counts its messages in tr.
+func Serve(ctx context.Context, ls net.Listener, ha Handler, tr *Traffic) error {
 	const op = "pulse.Serve"
-	srv := drpcserver.New(ha)
+	srv := drpcserver.New(handler{ha, jsonEncoding{tr}})
 	stop := context.AfterFunc(ctx, func() { _ = ls.Close() })
 	defer stop()
 	var wg conc.WaitGroup
--- a/internal/rule/watch/watch.go
+++ b/internal/rule/watch/watch.go
@@ -91,6 +91,9 @@
 	}
 }
 
+// SyncedAt returns when this node's state last matched the store.
+func (se *Selector) SyncedAt() time.Time { return se.syncedAt }
+
 // Age returns the time since this node's state last matched the store.
 func (se *Selector) Age(now time.Time) time.Duration { return now.Sub(se.syncedAt) }
 
--- a/internal/state/server/server.go
+++ b/internal/state/server/server.go
@@ -89,12 +89,15 @@
 	rg.storeDown = true
 }
 
-// StoreUp reports that the store is reachable for this node.
-func (rg *Registry) StoreUp(now time.Time) {
-	if rg.storeDown && now.Sub(rg.lostAt) >= minOutage {
+// StoreUp reports that the store is reachable for this node. It returns true if that ends an
+// outage.
+func (rg *Registry) StoreUp(now time.Time) (outage bool) {
+	outage = rg.storeDown && now.Sub(rg.lostAt) >= minOutage
+	if outage {
 		rg.recoveredAt = now
 	}
 	rg.storeDown = false
+	return outage
 }
 
 // PeerReachedStore reports that the store answered a peer node at a time. If that was after
@@ -190,6 +193,14 @@
 	return true
 }
 
+// HeldBack returns how much longer the removal of a server is held back, 0 if it isn't.
+func (rg *Registry) HeldBack(now time.Time, id units.VMID) time.Duration {
+	if st := rg.entries[id]; st != nil && !st.removed && !st.removeAt.IsZero() {
+		return max(st.removeAt.Sub(now), time.Nanosecond)
+	}
+	return 0
+}
+
 // Tick applies removals whose delay is over and drops servers that were removed more than
 // tombstoneTime ago. It returns true if the list changed.
 func (rg *Registry) Tick(now time.Time) bool {
