entry: a node whose own call failed keeps a removed server (red)

Three more ways into the same state are red: the removal in the first page after a loss of 0.25 s, a peer whose list is fresh but of which this node lacks records, and a peer that tells so after the removal was held back. Two cases in which the removal has to be held back pass.

--- /dev/null
+++ b/internal/node/entry/follow_test.go
@@ -0,0 +1,203 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepick/internal/edge/door"
+	"lycheepick/internal/edge/relay"
+	"lycheepick/internal/node/config"
+	"lycheepick/internal/peer/pulse"
+	"lycheepick/internal/plat/stream"
+	"lycheepick/internal/rule/units"
+	"lycheepick/internal/state/routes"
+	"lycheepick/internal/state/server"
+)
+
+// recordStore is a store whose only stream has the given records, "KEY VALUE" each.
+type recordStore struct {
+	stream.Store
+	records []string
+}
+
+func (st *recordStore) Newest(context.Context, stream.Name) ([]stream.Keyed, units.Offset, error) {
+	latest := map[string]stream.Keyed{}
+	for off, rec := range st.records {
+		it, _ := splitRecord(units.Offset(off), []byte(rec))
+		latest[it.Key] = it
+	}
+	var out []stream.Keyed
+	for _, it := range latest {
+		if len(it.Value) > 0 {
+			out = append(out, it)
+		}
+	}
+	return out, units.Offset(len(st.records)), nil
+}
+
+func (st *recordStore) Read(_ context.Context, _ stream.Name, from units.Offset, _ time.Duration) (stream.Page, error) {
+	out := stream.Page{From: from, End: units.Offset(len(st.records))}
+	for _, rec := range st.records[from:] {
+		out.Records = append(out.Records, []byte(rec))
+	}
+	return out, nil
+}
+
+func splitRecord(off units.Offset, rec []byte) (stream.Keyed, bool) {
+	key, val, _ := strings.Cut(string(rec), " ")
+	return stream.Keyed{Offset: off, Key: key, Value: []byte(val)}, true
+}
+
+// followTest is a node that has loaded the servers "stays" and "leaves", and knows two peers.
+type followTest struct {
+	*Node
+	store *recordStore
+}
+
+
+
+func newFollowTest(t *testing.T) *followTest {
+	ft := &followTest{store: &recordStore{records: []string{"stays ready", "leaves ready"}}}
+	ft.Node = New(&config.EntrySettings{VM: config.EntryVM{ID: "node-1", Zone: "z1"}}, Platform{
+		Store: ft.store, DecodeRecord: splitRecord,
+		DecodeServer: func([]byte) (server.Status, error) {
+			return server.Status{Service: "app", Zone: "z1", StartUnixMS: 1, Slots: 8}, nil
+		},
+		Handler: func(func() *routes.Config, *relay.Relay) door.Handler { return nil },
+	}, zap.NewNop())
+	ft.exchange("peer-1", 0, nil)
+	ft.exchange("peer-2", 0, nil)
+	ft.read(t)
+	time.Sleep(2 * time.Second)
+	return ft
+}
+
+// read reads the servers from the store as the reader of the list does.
+func (ft *followTest) read(t *testing.T) {
+	t.Helper()
+	_, err := ft.readStore(t.Context(), "servers", func(ctx context.Context) (err error) {
+		if ft.serversLoaded.Load() {
+			_, err = ft.readServers(ctx)
+		} else {
+			_, err = ft.loadServers(ctx)
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// exchange applies a peer's reply. age is the age of the peer's list, and edit changes the reply.
+func (ft *followTest) exchange(id units.VMID, age time.Duration, edit func(*pulse.Reply)) {
+	re := &pulse.Reply{Report: pulse.Report{
+		Peer: pulse.Peer{Node: id, Address: string(id) + ":1"}, Incarnation: 1, Servers: ft.servers.NextOffset(), ServersAge: age,
+	}}
+	if edit != nil {
+		edit(re)
+	}
+	ft.applyReport(&re.Report)
+	ft.applyServers(re, time.Now())
+}
+
+// passOn makes a reply hold all records of the store that this node lacks.
+func (ft *followTest) passOn(re *pulse.Reply) {
+	for off := re.Servers; int(off) < len(ft.store.records); off++ {
+		it, _ := splitRecord(off, []byte(ft.store.records[off]))
+		re.Records = append(re.Records, it)
+	}
+	re.Servers, re.Complete = units.Offset(len(ft.store.records)), true
+}
+
+func (ft *followTest) usable() string {
+	var ids []string
+	for _, sv := range ft.relay.Servers(time.Now(), "app") {
+		if sv.Usable {
+			ids = append(ids, string(sv.ID))
+		}
+	}
+	return strings.Join(ids, " ")
+}
+
+// TestFailedCallKeepsRemovedServer guards against a node that takes its own failed call for an
+// outage of the store, and then sends requests to servers whose removal it holds back.
+func TestFailedCallKeepsRemovedServer(t *testing.T) {
+	failed := errors.New("no answer")
+	for _, tt := range []struct {
+		name string
+		play func(t *testing.T, ft *followTest)
+		want string
+	}{
+		{"a peer passes the removal on after a failed call", func(_ *testing.T, ft *followTest) {
+			ft.updateStoreHealth("duty", failed)
+			time.Sleep(700 * time.Millisecond)
+			ft.store.records = append(ft.store.records, "leaves ")
+			ft.exchange("peer-1", 900*time.Millisecond, ft.passOn)
+			time.Sleep(600 * time.Millisecond)
+			ft.updateStoreHealth("duty", nil)
+		}, "stays"},
+		{"the first page after a short loss has the removal", func(t *testing.T, ft *followTest) {
+			ft.updateStoreHealth("servers", failed)
+			time.Sleep(250 * time.Millisecond)
+			ft.store.records = append(ft.store.records, "leaves ")
+			ft.read(t)
+		}, "stays"},
+		{"peers that lack records were served meanwhile", func(t *testing.T, ft *followTest) {
+			ft.updateStoreHealth("servers", failed)
+			time.Sleep(1500 * time.Millisecond)
+			ft.exchange("peer-1", 100*time.Millisecond, func(re *pulse.Reply) { re.Servers++ })
+			ft.store.records = append(ft.store.records, "leaves ")
+			ft.read(t)
+		}, "stays"},
+		{"a peer tells only later that it was served meanwhile", func(t *testing.T, ft *followTest) {
+			ft.updateStoreHealth("servers", failed)
+			time.Sleep(1500 * time.Millisecond)
+			ft.store.records = append(ft.store.records, "leaves ")
+			ft.read(t)
+			time.Sleep(300 * time.Millisecond)
+			ft.exchange("peer-1", 100*time.Millisecond, nil)
+		}, "stays"},
+		{"a peer claims an outage in which another one was served", func(_ *testing.T, ft *followTest) {
+			ft.store.records = append(ft.store.records, "leaves ")
+			ft.exchange("peer-1", 0, func(re *pulse.Reply) {
+				ft.passOn(re)
+				re.SinceStoreOutage = 100 * time.Millisecond
+			})
+			ft.exchange("peer-2", 50*time.Millisecond, nil)
+		}, "stays"},
+		{"the peers see the outage too", func(t *testing.T, ft *followTest) {
+			ft.updateStoreHealth("servers", failed)
+			time.Sleep(1500 * time.Millisecond)
+			ft.store.records = append(ft.store.records, "leaves ")
+			ft.read(t)
+			time.Sleep(300 * time.Millisecond)
+			ft.exchange("peer-1", 100*time.Millisecond, func(re *pulse.Reply) { re.SinceStoreOutage = 200 * time.Millisecond })
+		}, "leaves stays"},
+		{"a peer that started in the outage has seen none", func(t *testing.T, ft *followTest) {
+			ft.updateStoreHealth("servers", failed)
+			time.Sleep(time.Second)
+			ft.exchange("peer-3", time.Hour, nil)
+			time.Sleep(500 * time.Millisecond)
+			ft.store.records = append(ft.store.records, "leaves ")
+			ft.read(t)
+			time.Sleep(300 * time.Millisecond)
+			ft.exchange("peer-3", 100*time.Millisecond, nil)
+		}, "leaves stays"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ft := newFollowTest(t)
+				tt.play(t, ft)
+				if have := ft.usable(); have != tt.want {
+					t.Errorf("usable servers: have %q, want %q", have, tt.want)
+				}
+			})
+		})
+	}
+}
