entry: a node's own failed call is no outage of the store

What callers saw: requests reached servers 3.0 to 3.4 s after the store had acknowledged their removal (bound 3.0 s), sent by one node of 87.

Cause: one call of that node to the store had no answer within 1.5 s. The node took that for an outage, in which records of live servers may expire, and held removals back for 2.3 s: also those that a peer passed on after it had read and applied them without an outage. What could disprove the outage, a peer's fresh list, counted only if this node lacked no record of it and only until its next successful call. The first page after a loss was folded while the store still counted as lost, so that even a loss too short to be an outage cost 2.3 s.

Fix: who reads a removal decides on it. A removal from a peer takes effect at once unless that peer still holds removals back itself. An outage counts only if no peer that ran through it has a list that matched the store since, whenever that news comes; removals that were held back for it take effect then. A page is folded after the loss that it ends.

--- a/internal/node/entry/contact.go
+++ b/internal/node/entry/contact.go
@@ -94,6 +94,6 @@
 		no.log.Warn("store_lost", zap.String("reader", what), zap.Error(err))
 		return
 	}
-	outage := no.servers.StoreUp(time.Now())
-	no.log.Info("store_back", zap.String("reader", what), zap.Bool("outage", outage))
+	no.servers.StoreUp(time.Now())
+	no.log.Info("store_back", zap.String("reader", what), zap.Bool("outage", no.servers.SinceRecovery(time.Now()) > 0))
 }
--- a/internal/node/entry/follow.go
+++ b/internal/node/entry/follow.go
@@ -155,12 +155,13 @@
 	no.mu.Lock()
 	now := time.Now()
 	no.setSynced(asked)
+	hold := no.removalHold(now)
 	listed := map[units.VMID]bool{}
 	for _, it := range items {
 		listed[units.VMID(it.Key)] = true
-		no.foldServer(now, it, "store")
+		no.foldServer(now, it, "store", hold)
 	}
-	no.servers.Reconcile(now, listed)
+	no.servers.Reconcile(now, listed, hold)
 	no.servers.SkipTo(end)
 	no.mu.Unlock()
 	no.serversLoaded.Store(true)
@@ -182,12 +183,13 @@
 	}
 	no.mu.Lock()
 	now := time.Now()
+	hold := no.removalHold(now)
 	changed := false
 	for idx, rec := range page.Records {
 		off := page.From + units.Offset(idx)
 		it, ok := no.platform.DecodeRecord(off, rec)
 		if ok {
-			changed = no.foldServer(now, it, "store") || changed
+			changed = no.foldServer(now, it, "store", hold) || changed
 		}
 	}
 	end := page.From + units.Offset(len(page.Records))
@@ -202,22 +204,29 @@
 	return true, nil
 }
 
+// removalHold returns how long the removals among records that were just read from the store
+// are held back. The caller holds mu.
+func (no *Node) removalHold(now time.Time) time.Duration {
+	no.servers.StoreUp(now) // Records that expired in an outage are read in the first page after it.
+	return no.servers.GraceLeft(now)
+}
+
 // setSynced records that the list of servers matched the store at a time. The caller holds mu.
 func (no *Node) setSynced(at time.Time) {
 	no.watch.Synced(at)
 	no.relay.SetSynced(no.watch.SyncedAt())
 }
 
-// foldServer folds one server record and reports whether the list changed. The caller holds
-// mu.
-func (no *Node) foldServer(now time.Time, it stream.Keyed, source string) bool {
+// foldServer folds one server record and reports whether the list changed. hold is how long a
+// removal is held back. The caller holds mu.
+func (no *Node) foldServer(now time.Time, it stream.Keyed, source string, hold time.Duration) bool {
 	id := units.VMID(it.Key)
 	if no.records.has(it) {
 		return false
 	}
 	if len(it.Value) == 0 {
 		no.records.put(it, true)
-		if no.servers.Remove(now, it.Offset, id) {
+		if no.servers.Remove(now, it.Offset, id, hold) {
 			no.log.Info("server_removed", zap.String("server", it.Key), zap.Int64("offset", int64(it.Offset)), zap.String("source", source))
 			return true
 		}
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -24,6 +24,8 @@
 	// sent a request.
 	lastSeen, lastAsked time.Time
 	lost                bool
+	// knownSince is when the first report of the peer's incarnation came.
+	knownSince time.Time
 	// incarnation is the peer's start, and storeTransitions how often it had lost or
 	// regained the store, in its latest report.
 	incarnation, storeTransitions int64
@@ -245,22 +247,26 @@
 	no.mu.Lock()
 	now := time.Now()
 	synced := asked.Add(-re.ServersAge)
+	changed := false
+	if pe := no.peers[re.Node]; pe != nil && re.SinceStoreOutage == 0 {
+		changed = no.servers.PeerServed(now, pe.knownSince, synced)
+	}
 	complete := re.Complete || no.servers.NextOffset() >= re.Servers
 	if complete && now.Sub(synced) < no.watch.Age(now) {
-		no.servers.PeerReachedStore(synced)
-		if !no.watch.IsReader() {
-			no.servers.NotePeerRecovery(now, re.SinceStoreOutage)
-		}
+		no.servers.NotePeerRecovery(now, re.SinceStoreOutage)
 		no.setSynced(synced)
 	}
-	changed := false
+	hold := time.Duration(0) // The peer has read the removals without an outage, whatever this node saw.
+	if re.SinceStoreOutage > 0 {
+		hold = no.servers.GraceLeft(now)
+	}
 	listed := map[units.VMID]bool{}
 	for _, it := range re.Records {
-		changed = no.foldServer(now, it, "peer "+string(re.Node)) || changed
+		changed = no.foldServer(now, it, "peer "+string(re.Node), hold) || changed
 		listed[units.VMID(it.Key)] = true
 	}
 	if re.Snapshot {
-		changed = no.servers.Reconcile(now, listed) || changed
+		changed = no.servers.Reconcile(now, listed, hold) || changed
 	}
 	if re.Complete {
 		no.servers.SkipTo(re.Servers)
@@ -319,6 +325,9 @@
 		no.log.Info("peer_back", zap.String("peer", string(re.Node)))
 	}
 	pe.lastSeen, pe.address = now, re.Address
+	if pe.incarnation != re.Incarnation {
+		pe.knownSince = now
+	}
 	if pe.incarnation == re.Incarnation && re.StoreTransitions > pe.storeTransitions {
 		no.storeHealth.restartReads()
 	}
--- a/internal/state/server/server.go
+++ b/internal/state/server/server.go
@@ -70,6 +70,12 @@
 	storeDown   bool
 	// lostAt is when the store became unreachable; it is valid while storeDown is set.
 	lostAt time.Time
+	// outageStart is the latest time at which the outage that ended at recoveredAt can have
+	// begun.
+	outageStart time.Time
+	// servedFrom and servedTo bound the latest time in which peers were served by the store;
+	// see PeerServed.
+	servedFrom, servedTo time.Time
 }
 
 // NewRegistry returns a registry without servers, at offset 0.
@@ -89,23 +95,73 @@
 	rg.storeDown = true
 }
 
-// StoreUp reports that the store is reachable for this node. It returns true if that ends an
-// outage.
-func (rg *Registry) StoreUp(now time.Time) (outage bool) {
-	outage = rg.storeDown && now.Sub(rg.lostAt) >= minOutage
-	if outage {
-		rg.recoveredAt = now
+// StoreUp reports that the store is reachable for this node.
+func (rg *Registry) StoreUp(now time.Time) {
+	if rg.storeDown && now.Sub(rg.lostAt) >= minOutage && !rg.servedThrough(rg.lostAt) {
+		rg.recoveredAt, rg.outageStart = now, rg.lostAt
 	}
 	rg.storeDown = false
-	return outage
 }
 
-// PeerReachedStore reports that the store answered a peer node at a time. If that was after
-// this node lost its connection, the store had no outage and no record has expired.
-func (rg *Registry) PeerReachedStore(at time.Time) {
-	if rg.storeDown && at.After(rg.lostAt) {
+// PeerServed reports that the list of a peer which has run since from matched the store at to,
+// and that the peer holds no removals back. A loss of the store that this node saw in between
+// is then no reason to hold removals back either: it was this node's own, or the records of live
+// servers have been rewritten since. It returns true if the list changed.
+func (rg *Registry) PeerServed(now, from, to time.Time) bool {
+	if !to.After(from) {
+		return false
+	}
+	switch {
+	case from.After(rg.servedTo):
+		rg.servedFrom, rg.servedTo = from, to
+	case !to.Before(rg.servedFrom):
+		rg.servedFrom, rg.servedTo = earlier(from, rg.servedFrom), later(to, rg.servedTo)
+	}
+	if rg.storeDown && rg.servedThrough(rg.lostAt) {
 		rg.storeDown = false
 	}
+	if rg.recoveredAt.IsZero() || !rg.servedThrough(rg.outageStart) {
+		return false
+	}
+	rg.recoveredAt = time.Time{}
+	return rg.applyHeldBack(now)
+}
+
+// servedThrough reports whether peers were served before and after a time.
+func (rg *Registry) servedThrough(at time.Time) bool {
+	return rg.servedFrom.Before(at) && rg.servedTo.After(at)
+}
+
+func earlier(one, two time.Time) time.Time {
+	if one.Before(two) {
+		return one
+	}
+	return two
+}
+
+func later(one, two time.Time) time.Time {
+	if one.After(two) {
+		return one
+	}
+	return two
+}
+
+func (rg *Registry) applyHeldBack(now time.Time) bool {
+	changed := false
+	for _, st := range rg.entries {
+		if !st.removed && !st.removeAt.IsZero() {
+			st.removed, st.changedAt, changed = true, now, true
+		}
+	}
+	return changed
+}
+
+// GraceLeft returns how long a removal read from the store now is held back.
+func (rg *Registry) GraceLeft(now time.Time) time.Duration {
+	if rg.recoveredAt.IsZero() {
+		return 0
+	}
+	return max(0, recoveryGrace-now.Sub(rg.recoveredAt))
 }
 
 // SinceRecovery returns the time since an outage of the store ended, at least 1 ns, while
@@ -117,11 +173,13 @@
 	return 0
 }
 
-// NotePeerRecovery takes over the SinceRecovery of the peer that reads the store for this
-// node.
+// NotePeerRecovery takes over the SinceRecovery of a peer from which this node has its list,
+// unless the store served another peer in that outage.
 func (rg *Registry) NotePeerRecovery(now time.Time, since time.Duration) {
-	if at := now.Add(-since); since > 0 && at.After(rg.recoveredAt) {
-		rg.recoveredAt = at
+	at := now.Add(-since)
+	start := at.Add(-minOutage)
+	if since > 0 && at.After(rg.recoveredAt) && !rg.servedThrough(start) {
+		rg.recoveredAt, rg.outageStart = at, start
 	}
 }
 
@@ -173,20 +231,17 @@
 	return ss.StartUnixMS == 0 && ss.Sequence < before.Sequence && (removed || ss.Sequence <= 1)
 }
 
-// Remove folds a removal read at off and returns true if the list changed. During an outage
-// of the store and recoveryGrace after it, the removal of a server that isn't draining is
-// held back, since the server's record may only have expired.
-func (rg *Registry) Remove(now time.Time, off units.Offset, id units.VMID) bool {
+// Remove folds a removal read at off and returns true if the list changed. hold is how long
+// the removal is held back unless the server is draining, since its record may only have
+// expired in an outage of the store.
+func (rg *Registry) Remove(now time.Time, off units.Offset, id units.VMID, hold time.Duration) bool {
 	st := rg.entries[id]
 	if st == nil || st.removed || off <= st.offset {
 		return false
 	}
 	st.offset = off
-	if !st.Draining && (rg.storeDown || now.Sub(rg.recoveredAt) < recoveryGrace) {
-		st.removeAt = rg.recoveredAt.Add(recoveryGrace)
-		if rg.storeDown {
-			st.removeAt = now.Add(recoveryGrace)
-		}
+	if !st.Draining && hold > 0 {
+		st.removeAt = now.Add(hold)
 		return false
 	}
 	st.removed, st.changedAt = true, now
@@ -217,15 +272,15 @@
 }
 
 // Reconcile folds a complete listing of the store: servers that aren't in it are removed,
-// or held back as in Remove shortly after an outage. It returns true if the list changed.
-func (rg *Registry) Reconcile(now time.Time, listed map[units.VMID]bool) bool {
+// or held back as in Remove. It returns true if the list changed.
+func (rg *Registry) Reconcile(now time.Time, listed map[units.VMID]bool, hold time.Duration) bool {
 	changed := false
 	for id, st := range rg.entries {
 		if listed[id] || st.removed {
 			continue
 		}
-		if !st.Draining && now.Sub(rg.recoveredAt) < recoveryGrace {
-			st.removeAt = rg.recoveredAt.Add(recoveryGrace)
+		if !st.Draining && hold > 0 {
+			st.removeAt = now.Add(hold)
 			continue
 		}
 		st.removed, st.changedAt, changed = true, now, true
--- a/internal/state/server/server_test.go
+++ b/internal/state/server/server_test.go
@@ -29,6 +29,11 @@
 	// restarted, draining: false
 }
 
+// remove folds a removal of i-1 that was read from the store.
+func remove(rg *server.Registry, ms int, off units.Offset) {
+	rg.Remove(at(ms), off, "i-1", rg.GraceLeft(at(ms)))
+}
+
 func TestBook(t *testing.T) {
 	ready := server.Status{Service: "model", Sequence: 5}
 	for _, tt := range []struct {
@@ -37,63 +42,63 @@
 		want  int
 	}{
 		{"a removal takes effect at once", func(rg *server.Registry) {
-			rg.Remove(at(10), 1, "i-1")
+			remove(rg, 10, 1)
 		}, 0},
 		{"a removal after an outage is held back", func(rg *server.Registry) {
 			rg.StoreDown(at(10))
 			rg.StoreUp(at(4000))
-			rg.Remove(at(4010), 1, "i-1")
+			remove(rg, 4010, 1)
 		}, 1},
 		{"a removal that was held back takes effect after the grace period", func(rg *server.Registry) {
 			rg.StoreDown(at(10))
 			rg.StoreUp(at(4000))
-			rg.Remove(at(4010), 1, "i-1")
+			remove(rg, 4010, 1)
 			rg.Tick(at(6400))
 		}, 0},
 		{"a new record cancels a removal that was held back", func(rg *server.Registry) {
 			rg.StoreDown(at(10))
 			rg.StoreUp(at(4000))
-			rg.Remove(at(4010), 1, "i-1")
+			remove(rg, 4010, 1)
 			rg.Put(at(5000), 2, "i-1", server.Status{Service: "model", Sequence: 6})
 			rg.Tick(at(9000))
 		}, 1},
 		{"a removal after an outage reported by a peer is held back", func(rg *server.Registry) {
 			rg.NotePeerRecovery(at(4000), time.Second)
-			rg.Remove(at(4010), 1, "i-1")
+			remove(rg, 4010, 1)
 		}, 1},
 		{"a removal held back after a reported outage takes effect after the grace period", func(rg *server.Registry) {
 			rg.NotePeerRecovery(at(4000), time.Second)
-			rg.Remove(at(4010), 1, "i-1")
+			remove(rg, 4010, 1)
 			rg.Tick(at(5400))
 		}, 0},
 		// The store rejected only some nodes, this one among them. That is not an outage
 		// (found on DRAIN, trouble-1 of bvid-lycheepick).
 		{"a removal takes effect at once if the store still answers peers", func(rg *server.Registry) {
 			rg.StoreDown(at(10))
-			rg.PeerReachedStore(at(3900))
-			rg.Remove(at(4010), 1, "i-1")
+			rg.PeerServed(at(3900), at(1), at(3900))
+			remove(rg, 4010, 1)
 		}, 0},
 		{"the same once the store answers this node again", func(rg *server.Registry) {
 			rg.StoreDown(at(10))
-			rg.PeerReachedStore(at(3900))
+			rg.PeerServed(at(3900), at(1), at(3900))
 			rg.StoreUp(at(4000))
-			rg.Remove(at(4010), 1, "i-1")
+			remove(rg, 4010, 1)
 		}, 0},
 		{"a peer that reached the store before the outage does not disprove it", func(rg *server.Registry) {
 			rg.StoreDown(at(10))
-			rg.PeerReachedStore(at(5))
+			rg.PeerServed(at(5), at(1), at(5))
 			rg.StoreUp(at(4000))
-			rg.Remove(at(4010), 1, "i-1")
+			remove(rg, 4010, 1)
 		}, 1},
 		// Guards against taking a single broken connection for an outage (found on DRAIN, hunt
 		// of bvid-lycheepick).
 		{"one broken connection is not an outage", func(rg *server.Registry) {
 			rg.StoreDown(at(10))
 			rg.StoreUp(at(260))
-			rg.Remove(at(300), 1, "i-1")
+			remove(rg, 300, 1)
 		}, 0},
 		{"a record with an older offset is ignored", func(rg *server.Registry) {
-			rg.Remove(at(10), 5, "i-1")
+			remove(rg, 10, 5)
 			rg.Put(at(20), 3, "i-1", ready)
 		}, 0},
 		{"a record of an earlier incarnation is ignored", func(rg *server.Registry) {
@@ -104,7 +109,7 @@
 			}
 		}, 1},
 		{"without a start time, a sequence number that restarts is a new incarnation", func(rg *server.Registry) {
-			rg.Remove(at(10), 1, "i-1")
+			remove(rg, 10, 1)
 			rg.Put(at(20), 2, "i-1", server.Status{Service: "model", Sequence: 1})
 		}, 1},
 	} {
