relay: a server that leaves while its connection is made gets no request

The request goes to another server: nothing has arrived at the first one, so neither the retry budget nor that server's health counts it, and requests that may run once go on too.

TestServerLeavesWhileConnecting, TestRequestIsNotSentAfterAll; the code before has no such check, so that they don't build there.

--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -108,6 +108,12 @@
 // not show whether the request was received. When ctx ends, the connection is reset and
 // reads of the body fail.
 func (cl *Caller) Do(ctx context.Context, addr string, req *fasthttp.Request, fresh bool) (*Answer, error) {
+	return cl.DoIf(ctx, addr, req, fresh, func() bool { return true })
+}
+
+// DoIf is Do for a request that must not be sent if proceed returns false once there is a
+// connection, which may take as long as the dial timeout. The error is then of KindNotSent.
+func (cl *Caller) DoIf(ctx context.Context, addr string, req *fasthttp.Request, fresh bool, proceed func() bool) (*Answer, error) {
 	const op = "call.Do"
 	cn, err := cl.connect(ctx, addr, fresh)
 	if err != nil {
@@ -119,6 +125,10 @@
 		an.discard()
 		return nil, fault.Wrap(op, KindNotSent, err)
 	}
+	if !proceed() {
+		an.discard()
+		return nil, fault.New(op, KindNotSent, "no longer wanted at %s", addr)
+	}
 	if err := send(cn, req); err != nil {
 		an.discard()
 		return nil, fault.Wrap(op, KindBroken, err)
--- a/internal/edge/call/call_test.go
+++ b/internal/edge/call/call_test.go
@@ -121,3 +121,28 @@
 		gomega.Expect(err).To(gomega.HaveOccurred())
 	})
 })
+
+// TestRequestIsNotSentAfterAll checks that a request which must not be sent once its connection
+// stands leaves no byte at the server.
+func TestRequestIsNotSentAfterAll(t *testing.T) {
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ls.Close() }()
+	var req fasthttp.Request
+	req.SetRequestURI("/")
+	req.Header.SetHost("a")
+	_, err = call.NewCaller().DoIf(context.Background(), ls.Addr().String(), &req, false, func() bool { return false })
+	if !fault.Is(err, call.KindNotSent) {
+		t.Errorf("have %v, want an error of kind %s", err, call.KindNotSent)
+	}
+	cn, err := ls.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = cn.Close() }()
+	if have, _ := io.ReadAll(cn); len(have) > 0 {
+		t.Errorf("the server got %q, want nothing", have)
+	}
+}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -31,6 +31,8 @@
 	KindRefused Kind = "refused"
 	// KindNotSent marks an attempt of which no byte reached the server.
 	KindNotSent Kind = "not_sent"
+	// KindLeaving marks an attempt that was not sent since its server began to leave.
+	KindLeaving Kind = "leaving"
 	// KindErrored marks an attempt for which the server returned an error response.
 	KindErrored Kind = "errored"
 	// KindBroken marks an attempt whose response was truncated or malformed.
@@ -76,6 +78,9 @@
 	Deadline  time.Time
 	Priority  int
 	LastEvent string
+	// Leaving reports whether the server has been removed or replaced, or has begun to drain,
+	// since it was chosen. It has to be checked right before the request is sent.
+	Leaving func() bool
 }
 
 // Reply is the response of a backend server, with the body unread.
@@ -99,7 +104,7 @@
 // Exchange sends one request to backend servers.
 type Exchange interface {
 	// Send sends the request and reads the response header. Its errors are of the kinds
-	// KindNotSent and KindBroken.
+	// KindNotSent, KindLeaving and KindBroken.
 	Send(ctx context.Context, at *Attempt) (*Reply, error)
 }
 
@@ -148,6 +153,8 @@
 	draining atomic.Pointer[drainCutoffs]
 	// syncedAt is when the list of servers last matched the store, in Unix nanoseconds.
 	syncedAt atomic.Int64
+	// open holds the start times of the servers that get requests, for checks without a lock.
+	open atomic.Pointer[map[units.VMID]int64]
 
 	mu     sync.Mutex
 	fleets map[units.TargetID]*service
@@ -211,9 +218,14 @@
 // SetServers replaces the backend servers.
 func (rl *Relay) SetServers(now time.Time, list []server.Server) {
 	by := map[units.TargetID][]server.Server{}
+	open := make(map[units.VMID]int64, len(list))
 	for _, sv := range list {
 		by[sv.Service] = append(by[sv.Service], sv)
+		if !sv.Draining {
+			open[sv.ID] = sv.StartUnixMS
+		}
 	}
+	rl.open.Store(&open)
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	for id := range by {
@@ -225,6 +237,12 @@
 	}
 }
 
+// isLeaving reports whether a server that was chosen gets no more requests.
+func (rl *Relay) isLeaving(sv *server.Server) bool {
+	start, ok := (*rl.open.Load())[sv.ID]
+	return !ok || start != sv.StartUnixMS
+}
+
 // SetSynced records that the list of servers matched the store at a time.
 func (rl *Relay) SetSynced(at time.Time) { rl.syncedAt.Store(at.UnixNano()) }
 
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -178,3 +178,45 @@
 		})
 	}
 }
+
+// slowConnection is an exchange whose first connection takes so long that its server, and only
+// that one, is removed meanwhile.
+type slowConnection struct {
+	rl      *relay.Relay
+	servers []server.Server
+	sentTo  []units.VMID
+}
+
+func (sc *slowConnection) Send(_ context.Context, at *relay.Attempt) (*relay.Reply, error) {
+	if len(sc.servers) == 0 {
+		sc.servers = []server.Server{{ID: "b", Status: server.Status{Service: "app", Zone: "a", Slots: 8}}}
+		if at.Server.ID == "b" {
+			sc.servers[0].ID = "a"
+		}
+		sc.rl.SetServers(time.Now(), sc.servers)
+	}
+	if at.Leaving() {
+		return nil, fault.New("test", relay.KindLeaving, "server %s is leaving", at.Server.ID)
+	}
+	sc.sentTo = append(sc.sentTo, at.Server.ID)
+	return serverFailure(), nil
+}
+
+// TestServerLeavesWhileConnecting guards against a request that is sent to a server whose
+// removal became known between the choice of the server and the end of the dial. It has to
+// reach another server, also without retries left and if it must run at most once.
+func TestServerLeavesWhileConnecting(t *testing.T) {
+	rl := newRelay(2)
+	for range 20 { // More than the retry budget.
+		rl.SetServers(time.Now(), []server.Server{
+			{ID: "a", Status: server.Status{Service: "app", Zone: "a", Slots: 8}},
+			{ID: "b", Status: server.Status{Service: "app", Zone: "a", Slots: 8}},
+		})
+		ex, si, rq := &slowConnection{rl: rl}, &sink{}, request(routes.Route{})
+		rq.Customer = nil
+		rl.Serve(context.Background(), rq, ex, si)
+		if len(ex.sentTo) != 1 || ex.sentTo[0] != ex.servers[0].ID || si.body != "failed" {
+			t.Fatalf("sent to %v with status %d, want the server that stays, %s", ex.sentTo, si.status, ex.servers[0].ID)
+		}
+	}
+}
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -125,7 +125,7 @@
 			ru.finish(nil)
 			return
 		}
-		if !fault.Is(err, KindRefused) && !fault.Is(err, KindNotSent) {
+		if !fault.Is(err, KindRefused) && !isNotSent(err) {
 			runs++
 		}
 		if !ru.shouldRetry(ctx, err, runs) {
@@ -253,7 +253,8 @@
 	if !ru.machine.CanDispatch() || runs >= ru.rq.Route.MaxAttempts || (ru.sink.Started() && ru.rq.Route.RetryPolicy != routes.Resumable) {
 		return false
 	}
-	if !ru.rl.spendRetry(ru.rq.Service) {
+	// The budget bounds what arrives at the servers, and nothing arrived at one that leaves.
+	if !fault.Is(err, KindLeaving) && !ru.rl.spendRetry(ru.rq.Service) {
 		return false
 	}
 	ru.rl.Counts.Retries.Add(1)
@@ -274,6 +275,8 @@
 		res = ru.result
 	case fault.Is(err, KindRefused):
 		res, evidence = place.Refused, answer.Refused
+	case fault.Is(err, KindLeaving):
+		res, evidence = place.Canceled, answer.NotSent
 	case fault.Is(err, KindNotSent):
 		evidence = answer.NotSent
 	case fault.Is(err, KindErrored):
@@ -304,7 +307,10 @@
 	ru.rl.Counts.Sent.Add(1)
 	ru.unsent = 0
 	sentAt := time.Now()
-	rp, err := ru.ex.Send(ctx, &Attempt{Server: pi.Server, Deadline: ru.rq.Deadline, Priority: ru.rq.Priority, LastEvent: ru.lastEvent})
+	rp, err := ru.ex.Send(ctx, &Attempt{
+		Server: pi.Server, Deadline: ru.rq.Deadline, Priority: ru.rq.Priority, LastEvent: ru.lastEvent,
+		Leaving: func() bool { return ru.rl.isLeaving(&pi.Server) },
+	})
 	if err != nil {
 		return ru.why(callerCtx, ctx, err)
 	}
@@ -332,7 +338,7 @@
 	if err == nil || fault.Is(err, KindErrored) {
 		return err
 	}
-	if fault.Is(err, KindNotSent) && callerCtx.Err() == nil {
+	if isNotSent(err) && callerCtx.Err() == nil {
 		return err
 	}
 	switch {
@@ -345,3 +351,6 @@
 	}
 	return err
 }
+
+// isNotSent reports whether no byte of an attempt can have reached its server.
+func isNotSent(err error) bool { return fault.Is(err, KindNotSent) || fault.Is(err, KindLeaving) }
