entry: nodes that miss the leader don't read the lease's whole backlog

Cause: while a node hears from the leader it doesn't read the lease, and afterwards it read every record since its last read, one a second. Each holds the counts of all nodes in the last twelve usage windows. 87 nodes do that at once, on links of 10 Mbit/s.

Now a node that has not read the lease for 2 s reads the newest record alone, which repeats what lasts of those before; and a record leaves out the counts of windows that are closed, whose sums the ledger has.

--- a/internal/node/entry/duty.go
+++ b/internal/node/entry/duty.go
@@ -30,6 +30,10 @@
 	// leaderReportTTL is how long a peer's report that it holds the lease replaces a read of
 	// the store.
 	leaderReportTTL = 1200 * time.Millisecond
+	// maxLeaseBacklog is the time since the last read of the lease up to which the records since
+	// then are read, and otherwise the newest one alone. Each record repeats what lasts of the
+	// previous one, and a page of them takes half a second on a link of 10 Mbit/s.
+	maxLeaseBacklog = 2 * renewPeriod
 	// leaseMargin covers the time until other nodes have read a record.
 	leaseMargin = 700 * time.Millisecond
 	// usageSettleTime is the time after the end of a usage window by which the counts of all
@@ -54,6 +58,8 @@
 // reportedAt and reportedBy.
 type leaderState struct {
 	lease *lease.Lease
+	// readAt is when the lease was last read.
+	readAt time.Time
 	// mu guards ledger. It is locked for every access, although all are made by leaderLoop.
 	mu        sync.Mutex
 	ledger    usage.Ledger
@@ -116,21 +122,27 @@
 	return ld.loaded && !ld.lease.IsHolder() && time.Since(ld.reportedAt) < leaderReportTTL
 }
 
+// loadLease reads the newest lease record.
+func (no *Node) loadLease(ctx context.Context) error {
+	ld := &no.leader
+	items, end, err := no.platform.Store.Newest(ctx, leaseStream)
+	if err != nil {
+		return err
+	}
+	for _, it := range items {
+		no.applyLease(it)
+	}
+	ld.lease.SkipTo(bootTime(), end)
+	ld.loaded, ld.readAt = true, time.Now()
+	return nil
+}
+
 // readLease reads the lease records that are new since the last call, or the newest one on
-// the first call and after records have expired.
+// the first call, after maxLeaseBacklog and after records have expired.
 func (no *Node) readLease(ctx context.Context) error {
 	ld := &no.leader
-	if !ld.loaded {
-		items, end, err := no.platform.Store.Newest(ctx, leaseStream)
-		if err != nil {
-			return err
-		}
-		for _, it := range items {
-			no.applyLease(it)
-		}
-		ld.lease.SkipTo(bootTime(), end)
-		ld.loaded = true
-		return nil
+	if !ld.loaded || time.Since(ld.readAt) > maxLeaseBacklog {
+		return no.loadLease(ctx)
 	}
 	page, err := no.platform.Store.Read(ctx, leaseStream, ld.lease.NextOffset(), 0)
 	if fault.Is(err, stream.KindExpired) {
@@ -145,6 +157,7 @@
 			no.applyLease(it)
 		}
 	}
+	ld.readAt = time.Now()
 	return nil
 }
 
@@ -183,13 +196,13 @@
 func (no *Node) appendLease(ctx context.Context, closing usage.Ledger) bool {
 	ld := &no.leader
 	rec := leaseRecord{Holder: lease.Holder{Node: no.settings.VM.ID, Incarnation: no.incarnation}, Ledger: usage.Ledger{}, Demand: ld.orders.rates()}
-	no.mu.Lock()
-	rec.Began = no.usageBook.AllCounts()
-	no.mu.Unlock()
 	ld.mu.Lock()
 	rec.Ledger.Merge(ld.ledger)
 	ld.mu.Unlock()
 	rec.Ledger.Merge(closing)
+	no.mu.Lock()
+	rec.Began = no.usageBook.OpenCounts(rec.Ledger)
+	no.mu.Unlock()
 	raw, err := json.Marshal(&rec)
 	if err != nil {
 		no.log.Error("duty_record_not_encoded", zap.Error(err))
--- a/internal/rule/usage/usage.go
+++ b/internal/rule/usage/usage.go
@@ -111,11 +111,17 @@
 	return out
 }
 
-// AllCounts returns a copy of the counts of all sources.
-func (ctr *Counter) AllCounts() map[string]Windows {
+// OpenCounts returns a copy of the counts of all sources in the windows that le doesn't close.
+func (ctr *Counter) OpenCounts(le Ledger) map[string]Windows {
 	out := make(map[string]Windows, len(ctr.sources))
 	for so := range ctr.sources {
-		out[so] = ctr.SourceCounts(so)
+		open := ctr.SourceCounts(so)
+		for wi := range le {
+			delete(open, wi)
+		}
+		if len(open) > 0 {
+			out[so] = open
+		}
 	}
 	return out
 }
--- a/internal/rule/usage/usage_test.go
+++ b/internal/rule/usage/usage_test.go
@@ -78,3 +78,18 @@
 		}
 	})
 }
+
+func TestOpenCountsLeaveOutClosedWindows(t *testing.T) {
+	ctr := usage.NewCounter(time.Second)
+	for second := range int64(4) {
+		ctr.Count("a", time.Unix(second, 0), "alpha")
+	}
+	ctr.Count("b", time.Unix(0, 0), "alpha")
+	have := ctr.OpenCounts(usage.Ledger{0: {}, 1: {}, 2: {}})
+	if len(have) != 1 || len(have["a"]) != 1 || have["a"][3]["alpha"] != 1 {
+		t.Errorf("have %v, want the count of a in window 3 alone", have)
+	}
+	if total := ctr.Total(0); total["alpha"] != 2 {
+		t.Errorf("window 0: have %v, want the counts to stay", total)
+	}
+}
