--- a/internal/node/entry/pack.go
+++ b/internal/node/entry/config.go
@@ -5,9 +5,12 @@
 	"compress/flate"
 	"io"
 	"sync"
+	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/state/routes"
@@ -20,6 +23,9 @@
 	// reports still get through on a link of 10 Mbit/s. A peer that gets none asks again, here
 	// or at a peer that has got it meanwhile.
 	configBytesPerSecond = 512 << 10
+	// maxConfigFetches bounds the exchanges in progress that ask for the configuration. The
+	// second one is for a peer that doesn't answer.
+	maxConfigFetches = 2
 )
 
 // activeConfig is the configuration in force.
@@ -70,3 +76,62 @@
 	}
 	return raw, nil
 }
+
+// claimConfigFetch returns whether the exchange with a peer asks for its configuration: if the
+// peer is known to have a newer one, or is the reader on which this node relies. endConfigFetch
+// has to follow if it does.
+func (no *Node) claimConfigFetch(id units.VMID) pulse.ConfigRequest {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	pe := no.peers[id]
+	mayBeNewer := pe == nil || id == no.watch.Reader() || pe.config > no.config.Load().version()
+	if !mayBeNewer || no.configFetches >= maxConfigFetches {
+		return pulse.ConfigNone
+	}
+	no.configFetches++
+	return pulse.ConfigDeflate
+}
+
+func (no *Node) endConfigFetch() {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	no.configFetches--
+}
+
+// applyPeerConfig puts the configuration in a peer's reply in force, if there is one.
+func (no *Node) applyPeerConfig(re *pulse.Reply) {
+	raw := re.RawConfig
+	if len(re.PackedConfig) > 0 {
+		var err error
+		if raw, err = unpack(re.PackedConfig); err != nil {
+			no.log.Warn("config_unreadable", zap.String("source", "peer "+string(re.Node)), zap.Error(err))
+			return
+		}
+	}
+	if len(raw) > 0 {
+		no.exchanges.configsReceived.Add(1)
+		no.applyConfig(raw, "peer "+string(re.Node))
+	}
+}
+
+// addConfig adds a configuration to a reply in the encoding that the peer asks for, unless this
+// node has sent too much of it lately.
+func (no *Node) addConfig(out *pulse.Reply, fo *activeConfig, want pulse.ConfigRequest) {
+	if want == pulse.ConfigNone {
+		return
+	}
+	body := fo.raw
+	if want == pulse.ConfigDeflate {
+		body = fo.pack()
+	}
+	if !no.configLimiter.AllowN(time.Now(), min(len(body), configBytesPerSecond)) {
+		no.exchanges.configsDeferred.Add(1)
+		return
+	}
+	no.exchanges.configsSent.Add(1)
+	if want == pulse.ConfigDeflate {
+		out.PackedConfig = body
+	} else {
+		out.RawConfig = body
+	}
+}
--- a/internal/node/entry/spread_test.go
+++ b/internal/node/entry/config_test.go
@@ -22,6 +22,7 @@
 	"lycheepick/internal/node/config"
 	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/plat/stream"
+	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/state/routes"
 	"lycheepick/internal/state/server"
@@ -200,3 +201,24 @@
 		}
 	})
 }
+
+func TestUnpack(t *testing.T) {
+	whole := encodedConfig(1, 50)
+	packed := pack(whole)
+	for _, tt := range []struct {
+		name   string
+		packed []byte
+		want   []byte
+	}{
+		{"whole", packed, whole},
+		{"truncated", packed[:len(packed)/2], nil},
+		{"too long", pack(make([]byte, maxConfigBytes+1)), nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			have, err := unpack(tt.packed)
+			if !slices.Equal(have, tt.want) || fault.Is(err, KindConfig) != (tt.want == nil) {
+				t.Errorf("have %d bytes and error %v, want %d bytes", len(have), err, len(tt.want))
+			}
+		})
+	}
+}
