--- a/internal/node/entry/duty.go
+++ b/internal/node/entry/duty.go
@@ -58,7 +58,7 @@
 // reportedAt and reportedBy.
 type leaderState struct {
 	lease *lease.Lease
-	// readAt is when the lease was last read.
+	// readAt is when this node last knew all records of the lease.
 	readAt time.Time
 	// mu guards ledger. It is locked for every access, although all are made by leaderLoop.
 	mu        sync.Mutex
@@ -215,7 +215,7 @@
 		return false
 	}
 	ld.lease.Appended(sent, bootTime(), off)
-	ld.renewedAt = sent
+	ld.renewedAt, ld.readAt = sent, time.Now() // The append shows that nothing was left to read.
 	ld.mu.Lock()
 	ld.ledger.Merge(closing)
 	ld.mu.Unlock()
--- a/internal/node/entry/duty_test.go
+++ b/internal/node/entry/duty_test.go
@@ -21,6 +21,11 @@
 	return stream.Keyed{Offset: off, Key: leaseKey, Value: []byte(`{"node":"leader","life":1}`)}
 }
 
+func (st *leaseStore) Append(context.Context, stream.Name, units.Offset, ...[]byte) (units.Offset, error) {
+	st.end++
+	return st.end - 1, nil
+}
+
 func (st *leaseStore) Newest(context.Context, stream.Name) ([]stream.Keyed, units.Offset, error) {
 	st.returned++
 	return []stream.Keyed{st.record(st.end - 1)}, st.end, nil
@@ -59,5 +64,11 @@
 		time.Sleep(time.Minute) // The leader's reports come by gossip, so the store isn't read.
 		st.end += 60
 		read(1)
+		time.Sleep(time.Minute)
+		if !no.appendLease(t.Context(), nil) {
+			t.Fatal("the lease was not appended")
+		}
+		time.Sleep(renewPeriod)
+		read(0) // The holder knows its own records.
 	})
 }
--- a/internal/node/entry/follow_test.go
+++ b/internal/node/entry/follow_test.go
@@ -63,7 +63,7 @@
 func newFollowTest(t *testing.T) *followTest {
 	ft := &followTest{store: &recordStore{records: []string{"stays ready", "leaves ready"}}}
 	ft.Node = New(&config.EntrySettings{VM: config.EntryVM{ID: "node-1", Zone: "z1"}}, Platform{
-		Store: ft.store, DecodeRecord: splitRecord,
+		Store: ft.store, DecodeRecord: splitRecord, EncodeRecord: func(string, []byte) []byte { return nil },
 		DecodeServer: func([]byte) (server.Status, error) {
 			return server.Status{Service: "app", Zone: "z1", StartUnixMS: 1, Slots: 8}, nil
 		},
