--- a/internal/edge/call/call_test.go
+++ b/internal/edge/call/call_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -130,10 +131,12 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = ls.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
 	var req fasthttp.Request
 	req.SetRequestURI("/")
 	req.Header.SetHost("a")
-	_, err = call.NewCaller().DoIf(context.Background(), ls.Addr().String(), &req, false, func() bool { return false })
+	_, err = call.NewCaller().DoIf(ctx, ls.Addr().String(), &req, false, func() bool { return false })
 	if !fault.Is(err, call.KindNotSent) {
 		t.Errorf("have %v, want an error of kind %s", err, call.KindNotSent)
 	}
