daemon: a late report of a draining server doesn't drain its replacement

Callers would lose that server until its VM is gone.

Cause: a load query takes up to a second, and its reply was applied by VM id alone. A reply "draining" of incarnation 1 that came after incarnation 2 was known marked the latter as leaving, which is sticky and spreads by gossip. The same for a request that the old server rejected, and, for the time of an ejection, for failures of requests and probes; cache events of the old one were counted for the new one. All are now compared with the incarnation that was asked.

--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -126,10 +126,10 @@
 
 // ApplyReport stores a load report that was requested at the time at. It counts as a
 // successful probe. The load is published by the next Refresh.
-func (fl *Fleet) ApplyReport(id units.VMID, rep *engine.Report, at time.Time) {
+func (fl *Fleet) ApplyReport(id units.Instance, rep *engine.Report, at time.Time) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	se := fl.servers[id]
+	se := fl.current(id)
 	if se == nil {
 		return
 	}
@@ -139,16 +139,16 @@
 	}
 	fl.dirty = true
 	if ch := se.health.Probed(at, true); ch != retry.Unchanged {
-		fl.auditChange(id, ch)
+		fl.auditChange(id.VM, ch)
 		fl.publish()
 	}
 }
 
 // CacheSeq returns the sequence number of the last cache event applied for a server.
-func (fl *Fleet) CacheSeq(id units.VMID) int64 {
+func (fl *Fleet) CacheSeq(id units.Instance) int64 {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	if se := fl.servers[id]; se != nil {
+	if se := fl.current(id); se != nil {
 		return se.cacheSeq
 	}
 	return 0
@@ -156,10 +156,10 @@
 
 // ApplyCacheEvents applies cache events of a server. Gaps in the sequence are tolerated:
 // missed events only make the estimate of the cached tokens less accurate.
-func (fl *Fleet) ApplyCacheEvents(id units.VMID, list []engine.CacheEvent) {
+func (fl *Fleet) ApplyCacheEvents(id units.Instance, list []engine.CacheEvent) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	se := fl.servers[id]
+	se := fl.current(id)
 	if se == nil {
 		return
 	}
@@ -184,38 +184,47 @@
 }
 
 // ProbeSucceeded records a successful probe that returned no load report.
-func (fl *Fleet) ProbeSucceeded(id units.VMID, now time.Time) {
+func (fl *Fleet) ProbeSucceeded(id units.Instance, now time.Time) {
 	fl.updateHealth(id, func(se *server) retry.Change { return se.health.Probed(now, true) })
 }
 
 // ProbeFailed records a failed probe of a server.
-func (fl *Fleet) ProbeFailed(id units.VMID, now time.Time) {
+func (fl *Fleet) ProbeFailed(id units.Instance, now time.Time) {
 	fl.updateHealth(id, func(se *server) retry.Change { return se.health.Probed(now, false) })
 }
 
 // RequestSucceeded records a request that a server completed.
-func (fl *Fleet) RequestSucceeded(id units.VMID) {
+func (fl *Fleet) RequestSucceeded(id units.Instance) {
 	fl.updateHealth(id, func(se *server) retry.Change { return se.health.Succeeded() })
 }
 
 // RequestFailed records a request that failed because of the server.
-func (fl *Fleet) RequestFailed(id units.VMID, now time.Time) {
+func (fl *Fleet) RequestFailed(id units.Instance, now time.Time) {
 	fl.updateHealth(id, func(se *server) retry.Change { return se.health.Failed(now) })
 }
 
-func (fl *Fleet) updateHealth(id units.VMID, do func(*server) retry.Change) {
+func (fl *Fleet) updateHealth(id units.Instance, do func(*server) retry.Change) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	se := fl.servers[id]
+	se := fl.current(id)
 	if se == nil {
 		return
 	}
 	if ch := do(se); ch != retry.Unchanged {
-		fl.auditChange(id, ch)
+		fl.auditChange(id.VM, ch)
 		fl.publish()
 	}
 }
 
+// current returns the state of a server, or nil if the fleet has no such server or another
+// incarnation of it: what an earlier one reported says nothing about the present one.
+func (fl *Fleet) current(id units.Instance) *server {
+	if se := fl.servers[id.VM]; se != nil && se.Instance == id {
+		return se
+	}
+	return nil
+}
+
 func (fl *Fleet) auditChange(id units.VMID, ch retry.Change) {
 	switch ch {
 	case retry.Ejected:
@@ -257,7 +266,7 @@
 
 // server returns the state of a server; a new incarnation starts with empty state.
 func (fl *Fleet) server(id units.Instance) *server {
-	if se, ok := fl.servers[id.VM]; ok && se.Instance == id {
+	if se := fl.current(id); se != nil {
 		return se
 	}
 	return &server{Instance: id, dispatches: &route.DispatchLog{}, cache: route.NewCache(keysPerServer(len(fl.members)))}
--- a/internal/edge/fleet/fleet_test.go
+++ b/internal/edge/fleet/fleet_test.go
@@ -39,32 +39,39 @@
 	gm := gomega.NewWithT(t)
 	au := &auditRecorder{}
 	fl := fleet.New(au)
-	fl.SetMembers(members(1, 2))
+	list := members(1, 2)
+	fl.SetMembers(list)
 	now := time.Now()
+	server := list[1].Instance
 	for range 3 {
-		fl.RequestFailed("engine-000", now)
+		fl.RequestFailed(server, now)
 	}
 	gm.Expect(fl.Snapshot().Server("engine-000").Usable).To(gomega.BeFalse())
 	gm.Expect(fl.Snapshot().Server("engine-001").Usable).To(gomega.BeTrue())
-	fl.ApplyReport("engine-000", &engine.Report{Slots: 4}, now.Add(time.Minute))
+	fl.ApplyReport(server, &engine.Report{Slots: 4}, now.Add(time.Minute))
 	gm.Expect(fl.Snapshot().Server("engine-000").Usable).To(gomega.BeTrue())
 	gm.Expect(au.events).To(gomega.Equal([]string{"server_ejected engine-000", "server_returned engine-000"}))
 }
 
 // TestNewIncarnationStartsAfresh checks that a new incarnation of a VM ID does not inherit
-// the health state of the old one.
+// the health state of the old one, nor the results of requests to it that arrive late.
 func TestNewIncarnationStartsAfresh(t *testing.T) {
 	gm := gomega.NewWithT(t)
 	fl := fleet.New(&auditRecorder{})
 	list := members(1, 1)
 	fl.SetMembers(list)
 	for range 3 {
-		fl.RequestFailed("engine-000", time.Now())
+		fl.RequestFailed(list[1].Instance, time.Now())
 	}
+	before := list[1].Instance
 	list = members(1, 1)
 	list[1].Incarnation = 2
 	fl.SetMembers(list)
 	gm.Expect(fl.Snapshot().Server("engine-000").Usable).To(gomega.BeTrue())
+	for range 3 {
+		fl.RequestFailed(before, time.Now())
+	}
+	gm.Expect(fl.Snapshot().Server("engine-000").Usable).To(gomega.BeTrue(), "late results of the old incarnation")
 }
 
 // TestOwnerNodes checks that the owner of a server depends only on the membership, and
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -78,7 +78,7 @@
 	// Owners queries the owner nodes of backend servers.
 	Owners Owners
 	// OnDraining is called when a backend server rejects a request because it is draining.
-	OnDraining func(units.VMID)
+	OnDraining func(units.Instance)
 
 	budgets sync.Map // table.RowKey to *budget
 	running runningSet
--- a/internal/edge/flow/model.go
+++ b/internal/edge/flow/model.go
@@ -212,7 +212,7 @@
 func (ru *run) settle(re *route.Server, att units.AttemptID, err error) {
 	if err == nil {
 		re.Cache.Add(ru.request.Prefix)
-		ru.fl.Fleet.RequestSucceeded(re.VM)
+		ru.fl.Fleet.RequestSucceeded(re.Instance)
 		return
 	}
 	ru.ask.Avoid = append(ru.ask.Avoid, re.VM)
@@ -290,7 +290,7 @@
 			}
 		case <-stall.C:
 			ru.machine.Fail(att, answer.MayHaveRun)
-			ru.fl.Fleet.RequestFailed(re.VM, time.Now())
+			ru.fl.Fleet.RequestFailed(re.Instance, time.Now())
 			return fault.New(op, KindBroken, "%s went silent", re.VM)
 		case <-ctx.Done():
 			ru.machine.Fail(att, answer.MayHaveRun)
@@ -351,7 +351,7 @@
 		return fault.Wrap(op, KindInvalid, err)
 	case fault.Is(err, engine.KindDraining):
 		ru.machine.Fail(att, answer.Refused)
-		ru.fl.OnDraining(re.VM)
+		ru.fl.OnDraining(re.Instance)
 		return fault.Wrap(op, KindBroken, err)
 	case fault.Is(err, engine.KindRefused):
 		ru.machine.Fail(att, answer.Refused)
@@ -361,7 +361,7 @@
 	default:
 		ru.machine.Fail(att, answer.MayHaveRun)
 	}
-	ru.fl.Fleet.RequestFailed(re.VM, time.Now())
+	ru.fl.Fleet.RequestFailed(re.Instance, time.Now())
 	return fault.Wrap(op, KindBroken, err)
 }
 
--- a/internal/edge/flow/service.go
+++ b/internal/edge/flow/service.go
@@ -68,23 +68,23 @@
 	an, err := fl.Plain.Do(ctx, pi.server.Address, &rq)
 	if err != nil {
 		ask.Avoid = append(ask.Avoid, pi.server.VM)
-		return nil, fl.serviceFailed(ctx, ma, att, pi.server.VM, err)
+		return nil, fl.serviceFailed(ctx, ma, att, pi.server.Instance, err)
 	}
-	fl.Fleet.RequestSucceeded(pi.server.VM)
+	fl.Fleet.RequestSucceeded(pi.server.Instance)
 	ma.Finish(att, 0)
 	return an, nil
 }
 
 // serviceFailed records a failed attempt, with whether it may have been executed, and
 // returns its error.
-func (fl *Flow) serviceFailed(ctx context.Context, ma *answer.Machine, att units.AttemptID, vm units.VMID, err error) error {
+func (fl *Flow) serviceFailed(ctx context.Context, ma *answer.Machine, att units.AttemptID, id units.Instance, err error) error {
 	const op = "flow.serviceFailed"
 	switch {
 	case fault.Is(err, plain.KindNotSent):
 		ma.Fail(att, answer.NotSent)
 	case fault.Is(err, plain.KindDraining):
 		ma.Fail(att, answer.Refused)
-		fl.OnDraining(vm)
+		fl.OnDraining(id)
 		return fault.Wrap(op, KindBroken, err)
 	case fault.Is(err, plain.KindRefused):
 		ma.Fail(att, answer.Refused)
@@ -95,6 +95,6 @@
 	if ctx.Err() != nil {
 		return fault.Wrap(op, KindDeadline, err)
 	}
-	fl.Fleet.RequestFailed(vm, time.Now())
+	fl.Fleet.RequestFailed(id, time.Now())
 	return fault.Wrap(op, KindBroken, err)
 }
--- a/internal/node/daemon/load.go
+++ b/internal/node/daemon/load.go
@@ -73,13 +73,13 @@
 	}
 	rep, err := da.flow.Engine.Load(ctx, me.Address)
 	if err != nil {
-		da.fleet.ProbeFailed(me.VM, time.Now())
+		da.fleet.ProbeFailed(me.Instance, time.Now())
 		return
 	}
 	if rep.Draining {
-		da.serverDraining(me.VM)
+		da.serverDraining(me.Instance)
 	}
-	da.fleet.ApplyReport(me.VM, &rep, asked)
+	da.fleet.ApplyReport(me.Instance, &rep, asked)
 	if da.isOwner(me.VM) {
 		da.readCacheEvents(ctx, me, rep.CacheSeq)
 	}
@@ -87,7 +87,7 @@
 
 // readCacheEvents reads the new cache events of a server. Only its owner node does so.
 func (da *Daemon) readCacheEvents(ctx context.Context, me *member.Member, newest int64) {
-	seen := da.fleet.CacheSeq(me.VM)
+	seen := da.fleet.CacheSeq(me.Instance)
 	if newest <= seen {
 		return
 	}
@@ -96,7 +96,7 @@
 		da.log.Debug("cache_events_unreadable", zap.String("server", string(me.VM)), zap.Error(err))
 		return
 	}
-	da.fleet.ApplyCacheEvents(me.VM, list)
+	da.fleet.ApplyCacheEvents(me.Instance, list)
 }
 
 func (da *Daemon) probePlain(ctx context.Context, me *member.Member) {
@@ -104,11 +104,11 @@
 	_, err := da.flow.Plain.Do(ctx, me.Address, &rq)
 	switch {
 	case fault.Is(err, plain.KindDraining):
-		da.serverDraining(me.VM)
+		da.serverDraining(me.Instance)
 	case err != nil:
-		da.fleet.ProbeFailed(me.VM, time.Now())
+		da.fleet.ProbeFailed(me.Instance, time.Now())
 	default:
-		da.fleet.ProbeSucceeded(me.VM, time.Now())
+		da.fleet.ProbeSucceeded(me.Instance, time.Now())
 	}
 }
 
--- a/internal/node/daemon/watch.go
+++ b/internal/node/daemon/watch.go
@@ -171,15 +171,16 @@
 }
 
 // serverDraining marks a backend server as leaving after the server itself has reported so.
-func (da *Daemon) serverDraining(id units.VMID) {
+// Its VM id may have passed to a new incarnation since, which is not leaving.
+func (da *Daemon) serverDraining(id units.Instance) {
 	da.gossipMu.Lock()
-	me, known := da.gossip.View().Get(id)
+	me, known := da.gossip.View().Get(id.VM)
 	da.gossipMu.Unlock()
-	if !known || me.State >= member.Leaving {
+	if !known || me.Instance != id || me.State >= member.Leaving {
 		return
 	}
 	me.State = member.Leaving
-	da.trail.Note("server_draining", string(id), "")
+	da.trail.Note("server_draining", string(id.VM), "")
 	da.observe(me)
 }
 
