daemon: a caller that reconnects early gets its stream resumed

What callers saw: 410 session_lost for a stream that a node still held, so that they had to send the request anew and lost what was generated.

Cause: when a caller disconnects, its node notices with the next write, ends the run at the engine and only then stores the session at peers. A caller that reconnects in between was answered 410, since the node that looks for the session asked stores alone, once.

Now a node says in its reply that it still runs the request (a reply without "found" that holds a session with the id alone; older nodes ignore it), and the node that looks asks again every 20 ms for the 2 s that a look-up may take. It gives up after one round in which nobody ran the request: its session was stored before that. A request that nobody runs or holds costs a second round of calls and no wait. Look-ups by idempotency key are unchanged.

What remains: a look-up asks three peers at most, so in a fleet of more than four nodes the one that runs the request may not be among them.

--- a/internal/edge/serve/server.go
+++ b/internal/edge/serve/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
@@ -91,6 +92,8 @@
 	node Node
 	flow *flow.Flow
 	ctx  context.Context
+	// streams holds the streamed responses in progress: units.RequestID to *streamedResponse.
+	streams sync.Map
 }
 
 // New returns a server that serves requests with fl. Requests are cancelled when ctx ends.
--- a/internal/edge/serve/stream.go
+++ b/internal/edge/serve/stream.go
@@ -10,6 +10,7 @@
 
 	"lycheepick/internal/edge/flow"
 	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/units"
 )
 
 // firstTokenWait is how long the status line of a streamed response is delayed, so that an
@@ -74,9 +75,11 @@
 		sink: &streamSink{ctx: ctx, items: make(chan streamItem, streamBuffer)},
 		end:  make(chan flow.Outcome, 1),
 	}
+	sv.streams.Store(ex.request.ID, sr)
 	go sr.run(ctx, admission)
 	first, out := sr.awaitFirst()
 	if out != nil && out.Failure != nil && first == nil {
+		defer sr.forget()
 		cancel()
 		sv.handOver(ex, out)
 		return fail(ct, out.Failure)
@@ -87,6 +90,18 @@
 	return nil
 }
 
+// IsStreaming reports whether a streamed response of a customer is in progress. One whose
+// caller has disconnected is in progress until its session is stored at peers.
+func (sv *Server) IsStreaming(cu units.CustomerID, rq units.RequestID) bool {
+	val, ok := sv.streams.Load(rq)
+	return ok && val.(*streamedResponse).ex.request.Row.Customer == cu
+}
+
+// forget removes a response that has ended, unless its request has been resumed here.
+func (sr *streamedResponse) forget() {
+	sr.sv.streams.CompareAndDelete(sr.ex.request.ID, sr)
+}
+
 func (sr *streamedResponse) run(ctx context.Context, admission *flow.Admission) {
 	out := sr.sv.flow.Model(ctx, sr.ex.request, sr.sink)
 	admission.Release(tokensUsed(sr.ex.request, &out))
@@ -131,6 +146,7 @@
 
 // write sends the stream to the caller until it ends or the caller has disconnected.
 func (sr *streamedResponse) write(wr *bufio.Writer, first *streamItem, out *flow.Outcome) {
+	defer sr.forget()
 	defer sr.cancel()
 	ew := &eventWriter{wr: wr, ex: sr.ex, created: time.Now().Unix()}
 	ew.comment()
--- a/internal/node/daemon/peer.go
+++ b/internal/node/daemon/peer.go
@@ -95,8 +95,12 @@
 
 // Fetch returns a stored request to the peer at which its caller has reconnected, and deletes it.
 func (ps *peerServer) Fetch(_ context.Context, in *wire.FetchRequest) (*wire.FetchReply, error) {
-	se, ok := ps.da.sessions.take(units.CustomerID(in.GetCustomer()), units.RequestID(in.GetRequest()))
-	if !ok {
+	cu, rq := units.CustomerID(in.GetCustomer()), units.RequestID(in.GetRequest())
+	se, ok := ps.da.sessions.take(cu, rq)
+	switch {
+	case !ok && ps.da.server.IsStreaming(cu, rq):
+		return &wire.FetchReply{Session: &wire.Session{Request: in.GetRequest()}}, nil
+	case !ok:
 		return &wire.FetchReply{}, nil
 	}
 	return &wire.FetchReply{Found: true, Session: sessionToWire(se)}, nil
--- a/internal/node/daemon/session.go
+++ b/internal/node/daemon/session.go
@@ -13,8 +13,13 @@
 	"lycheepick/internal/state/table"
 )
 
-// sessionCopies is the number of peers that store a session.
-const sessionCopies = 2
+const (
+	// sessionCopies is the number of peers that store a session.
+	sessionCopies = 2
+	// sessionPollPeriod is the pause before a session of a request that still runs is asked
+	// for again.
+	sessionPollPeriod = 20 * time.Millisecond
+)
 
 // sessions stores the unfinished requests that peers have handed over to this node: a peer is
 // leaving, or the connection of a streaming caller has broken.
@@ -81,26 +86,47 @@
 
 // FetchSession implements serve.Node. It asks the peers in the order in which they were offered the
 // session. If the caller named the session, it asks one peer more, since a node may have joined
-// or left in the meantime. The remaining copies are dropped.
+// or left in the meantime, and while the request is still running it asks again: the caller may
+// reconnect before the node has noticed that it was gone, or has handed the session over.
 func (da *Daemon) FetchSession(ctx context.Context, cu units.CustomerID, rq units.RequestID, named bool) (*serve.Session, bool) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
 	count := 1
 	if named {
 		count = sessionCopies + 1
 	}
+	// A node that has stopped running the request has stored the session before, perhaps at a
+	// peer that was asked earlier in the round; the next round finds it there.
+	for stopped := false; ; {
+		se, running := da.findSession(ctx, cu, rq, count)
+		if se != nil || !named || stopped || ctx.Err() != nil {
+			return se, se != nil
+		}
+		stopped = !running
+		if running {
+			sleep(ctx, sessionPollPeriod)
+		}
+	}
+}
+
+// findSession takes a session from this node or from the first count peers, and drops the
+// remaining copies. running is true if there is none and one of them still runs the request.
+func (da *Daemon) findSession(ctx context.Context, cu units.CustomerID, rq units.RequestID, count int) (se *serve.Session, running bool) {
 	peers := da.sessionPeers(rq)
+	running = da.server.IsStreaming(cu, rq)
 	if se, ok := da.sessions.take(cu, rq); ok {
 		da.spawn(func(ctx context.Context) { da.dropCopies(ctx, peers, cu, rq) })
-		return se, true
+		return se, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
 	for idx, me := range peers[:min(count, len(peers))] {
-		if se, ok := da.fetchSession(ctx, &me, cu, rq); ok {
+		se, runs := da.fetchSession(ctx, &me, cu, rq)
+		if se != nil {
 			da.spawn(func(ctx context.Context) { da.dropCopies(ctx, peers[idx+1:], cu, rq) })
-			return se, true
+			return se, false
 		}
+		running = running || runs
 	}
-	return nil, false
+	return nil, running
 }
 
 // sessionPeers returns the peers that may store a session, in order: sessionCopies and one more.
@@ -114,12 +140,14 @@
 	return out
 }
 
-func (da *Daemon) fetchSession(ctx context.Context, me *member.Member, cu units.CustomerID, rq units.RequestID) (*serve.Session, bool) {
+// fetchSession takes a session from a peer. It returns nil if the peer has none, and whether
+// the peer still runs the request.
+func (da *Daemon) fetchSession(ctx context.Context, me *member.Member, cu units.CustomerID, rq units.RequestID) (se *serve.Session, running bool) {
 	re, err := da.peerPool.Peer(ctx, me.Address).Fetch(ctx, &wire.FetchRequest{Request: string(rq), Customer: string(cu)})
 	if err != nil || !re.GetFound() {
-		return nil, false
+		return nil, err == nil && re.GetSession() != nil
 	}
-	return sessionFromWire(re.GetSession()), true
+	return sessionFromWire(re.GetSession()), false
 }
 
 func (da *Daemon) dropCopies(ctx context.Context, peers []member.Member, cu units.CustomerID, rq units.RequestID) {
