--- a/internal/node/entry/follow_test.go
+++ b/internal/node/entry/follow_test.go
@@ -20,6 +20,8 @@
 	"lycheepick/internal/state/server"
 )
 
+var errNoAnswer = errors.New("no answer")
+
 // recordStore is a store whose only stream has the given records, "KEY VALUE" each.
 type recordStore struct {
 	stream.Store
@@ -113,6 +115,16 @@
 	re.Servers, re.Complete = units.Offset(len(ft.store.records)), true
 }
 
+// removeInLoss makes this node lose the store for a time, in which "leaves" is removed. The first
+// page read after it has the removal.
+func (ft *followTest) removeInLoss(t *testing.T, loss time.Duration) {
+	t.Helper()
+	ft.updateStoreHealth("servers", errNoAnswer)
+	time.Sleep(loss)
+	ft.store.records = append(ft.store.records, "leaves ")
+	ft.read(t)
+}
+
 func (ft *followTest) usable() string {
 	var ids []string
 	for _, sv := range ft.relay.Servers(time.Now(), "app") {
@@ -126,14 +138,13 @@
 // TestFailedCallKeepsRemovedServer guards against a node that takes its own failed call for an
 // outage of the store, and then sends requests to servers whose removal it holds back.
 func TestFailedCallKeepsRemovedServer(t *testing.T) {
-	failed := errors.New("no answer")
 	for _, tt := range []struct {
 		name string
 		play func(t *testing.T, ft *followTest)
 		want string
 	}{
 		{"a peer passes the removal on after a failed call", func(_ *testing.T, ft *followTest) {
-			ft.updateStoreHealth("duty", failed)
+			ft.updateStoreHealth("duty", errNoAnswer)
 			time.Sleep(700 * time.Millisecond)
 			ft.store.records = append(ft.store.records, "leaves ")
 			ft.exchange("peer-1", 900*time.Millisecond, ft.passOn)
@@ -141,23 +152,17 @@
 			ft.updateStoreHealth("duty", nil)
 		}, "stays"},
 		{"the first page after a short loss has the removal", func(t *testing.T, ft *followTest) {
-			ft.updateStoreHealth("servers", failed)
-			time.Sleep(250 * time.Millisecond)
-			ft.store.records = append(ft.store.records, "leaves ")
-			ft.read(t)
+			ft.removeInLoss(t, 250*time.Millisecond)
 		}, "stays"},
 		{"peers that lack records were served meanwhile", func(t *testing.T, ft *followTest) {
-			ft.updateStoreHealth("servers", failed)
+			ft.updateStoreHealth("servers", errNoAnswer)
 			time.Sleep(1500 * time.Millisecond)
 			ft.exchange("peer-1", 100*time.Millisecond, func(re *pulse.Reply) { re.Servers++ })
 			ft.store.records = append(ft.store.records, "leaves ")
 			ft.read(t)
 		}, "stays"},
 		{"a peer tells only later that it was served meanwhile", func(t *testing.T, ft *followTest) {
-			ft.updateStoreHealth("servers", failed)
-			time.Sleep(1500 * time.Millisecond)
-			ft.store.records = append(ft.store.records, "leaves ")
-			ft.read(t)
+			ft.removeInLoss(t, 1500*time.Millisecond)
 			time.Sleep(300 * time.Millisecond)
 			ft.exchange("peer-1", 100*time.Millisecond, nil)
 		}, "stays"},
@@ -170,15 +175,12 @@
 			ft.exchange("peer-2", 50*time.Millisecond, nil)
 		}, "stays"},
 		{"the peers see the outage too", func(t *testing.T, ft *followTest) {
-			ft.updateStoreHealth("servers", failed)
-			time.Sleep(1500 * time.Millisecond)
-			ft.store.records = append(ft.store.records, "leaves ")
-			ft.read(t)
+			ft.removeInLoss(t, 1500*time.Millisecond)
 			time.Sleep(300 * time.Millisecond)
 			ft.exchange("peer-1", 100*time.Millisecond, func(re *pulse.Reply) { re.SinceStoreOutage = 200 * time.Millisecond })
 		}, "leaves stays"},
 		{"a peer that started in the outage has seen none", func(t *testing.T, ft *followTest) {
-			ft.updateStoreHealth("servers", failed)
+			ft.updateStoreHealth("servers", errNoAnswer)
 			time.Sleep(time.Second)
 			ft.exchange("peer-3", time.Hour, nil)
 			time.Sleep(500 * time.Millisecond)
