relay: a stream whose attempt has timed out isn't begun

What callers saw: a stream that broke off after its first event or two, with all servers sound.

Cause: an attempt that may be repeated is cancelled if no first byte has come within three times the prediction. If the event arrived as the timer ran out, the stream was begun to the caller while its connection was being reset, and a begun stream can't be taken from another server. Nodes short of processor time see both at once.

Evidence: TestTimedOutStreamIsNotBegun, red before: status 502, one event of two, one send.

--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"strings"
 	"testing"
+	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -220,3 +223,46 @@
 		}
 	}
 }
+
+// lateStream is an exchange whose first stream begins as the attempt times out: its first event
+// has been received, but the connection is reset.
+type lateStream struct{ exchange }
+
+func (ls *lateStream) Send(ctx context.Context, at *relay.Attempt) (*relay.Reply, error) {
+	rp, err := ls.exchange.Send(ctx, at)
+	if ls.sends == 1 {
+		rp.Body = io.MultiReader(&receivedOnce{done: ctx.Done(), event: strings.NewReader("id: 1\n\n")}, iotest.ErrReader(io.ErrClosedPipe))
+	}
+	return rp, err
+}
+
+// receivedOnce reads an event once done is closed.
+type receivedOnce struct {
+	done  <-chan struct{}
+	event io.Reader
+}
+
+func (ro *receivedOnce) Read(buf []byte) (int, error) {
+	<-ro.done
+	return ro.event.Read(buf)
+}
+
+// TestTimedOutStreamIsNotBegun guards against a stream that is begun after its attempt has timed
+// out and is then cut, instead of being taken from another server.
+func TestTimedOutStreamIsNotBegun(t *testing.T) {
+	const whole = "id: 1\n\nid: 2\n\n"
+	synctest.Test(t, func(t *testing.T) {
+		si := &sink{}
+		ex := &lateStream{exchange{replies: []*relay.Reply{streamReply(""), streamReply(whole)}}}
+		newRelay(2).Serve(t.Context(), request(routes.Route{Stream: true, RetryPolicy: routes.Idempotent}), ex, si)
+		if si.status != fasthttp.StatusOK || si.body != whole || ex.sends != 2 {
+			t.Errorf("have status %d, body %q and %d sends, want 200, %q and 2", si.status, si.body, ex.sends, whole)
+		}
+	})
+}
+
+func streamReply(body string) *relay.Reply {
+	hd := &fasthttp.ResponseHeader{}
+	hd.SetStatusCode(fasthttp.StatusOK)
+	return &relay.Reply{Status: fasthttp.StatusOK, Authentic: true, Head: hd, Body: strings.NewReader(body), Close: func() {}}
+}
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -299,6 +299,7 @@
 	callerCtx := ctx
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	ru.firstByteTimer = nil
 	if ru.canRetry() {
 		timeout := max(minFirstByteTimeout, pi.FirstToken*firstByteTimeoutFactor)
 		ru.firstByteTimer = time.AfterFunc(timeout, func() { cancel(fault.New(op, KindFirstByteTimeout, "no answer within %s", timeout)) })
