proof: test runs don't share ports, and scripts that fail print their logs

Seen: TestReal/node-dies of KNOWN-RED.txt, once, beside other test runs: the fake of the log never listened on its port.

Cause, as far as the ports go: a run starts at one of 100 ranges of 100 ports by its process id, takes more than 100, and a port counted as taken only once its process listened. Two runs side by side could both find one free. That this was the cause of that failure is suspected, not shown.

Scripts add the last 40 events of each process, debug lines left out, to the output of the test, which go test shows on failure.

--- a/internal/proof/procs_test.go
+++ b/internal/proof/procs_test.go
@@ -10,7 +10,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -39,10 +38,12 @@
 
 // procs holds the processes of one script and the clients' requests to them.
 type procs struct {
-	env     *testscript.Env
-	dir     string
-	procs   map[string]*proc
-	addrs   map[string]string
+	env   *testscript.Env
+	dir   string
+	procs map[string]*proc
+	addrs map[string]string
+	// ports holds the reserved ports of the addresses whose processes have not started.
+	ports   map[string]*port
 	proxies map[string]*proxy
 	vms     []cloud.VM
 	nodes   int
@@ -64,7 +65,7 @@
 
 func newProcs(env *testscript.Env) *procs {
 	pr := &procs{
-		env: env, dir: env.WorkDir, procs: map[string]*proc{}, addrs: map[string]string{}, proxies: map[string]*proxy{},
+		env: env, dir: env.WorkDir, procs: map[string]*proc{}, addrs: map[string]string{}, ports: map[string]*port{}, proxies: map[string]*proxy{},
 		starts: map[string]int{}, results: map[string]*result{}, loads: map[string]chan *finishedLoad{},
 	}
 	env.Defer(pr.stopAll)
@@ -76,27 +77,6 @@
 	return pr
 }
 
-// nextPort is the last port handed out. Ports start below the range from which the kernel
-// assigns ports to outgoing connections.
-var nextPort atomic.Int32
-
-func init() {
-	const first, slots, portsPerSlot = 20000, 100, 100
-	nextPort.Store(int32(first + os.Getpid()%slots*portsPerSlot))
-}
-
-// addr returns the address of a process; the first call picks a free port for it.
-func (pr *procs) addr(name string) string {
-	for pr.addrs[name] == "" {
-		addr := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
-		if ls, err := net.Listen("tcp", addr); err == nil {
-			pr.addrs[name] = addr
-			_ = ls.Close()
-		}
-	}
-	return pr.addrs[name]
-}
-
 // start starts a process that writes to the file NAME.log.
 func (pr *procs) start(name string, args ...string) error {
 	log, err := os.OpenFile(filepath.Join(pr.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -106,6 +86,8 @@
 	defer func() { _ = log.Close() }()
 	cmd := exec.Command(filepath.Join(pr.buildDir(name), args[0]), args[1:]...)
 	cmd.Stdout, cmd.Stderr = log, log
+	pr.release(name)
+	pr.release(name + ".peers")
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -134,9 +116,34 @@
 	for _, px := range pr.proxies {
 		px.close()
 	}
+	for name := range pr.ports {
+		pr.release(name)
+	}
+	pr.showLogs()
 	pr.failOnRaces()
 }
 
+// showLogs adds the latest events of each process, without those of level debug, to the output of
+// the test, which go test prints if it fails.
+func (pr *procs) showLogs() {
+	const maxLines = 40
+	logs, _ := filepath.Glob(filepath.Join(pr.dir, "*.log"))
+	for _, file := range logs {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			continue
+		}
+		var lines []string
+		for line := range strings.Lines(string(raw)) {
+			if !strings.Contains(line, " level=debug ") {
+				lines = append(lines, line)
+			}
+		}
+		lines = lines[max(0, len(lines)-maxLines):]
+		pr.env.T().Log(filepath.Base(file) + ":\n" + strings.Join(lines, ""))
+	}
+}
+
 // failOnRaces fails the script if a process reported a data race.
 func (pr *procs) failOnRaces() {
 	logs, _ := filepath.Glob(filepath.Join(pr.dir, "*.log"))
