--- a/tools/red.sh
+++ b/tools/red.sh
@@ -32,7 +32,7 @@
   elif grep -qE 'build failed|setup failed' <<<"$out"; then
     echo "BROKEN $name: $(grep -m1 -E '\.go:[0-9]+:' <<<"$out")"; not_red=$((not_red + 1))
   else
-    failure=$(grep -m1 -E '_test\.go:[0-9]+: |FAIL: testdata' <<<"$out" | sed 's/^ *//' | cut -c1-150)
+    failure=$({ grep -m1 'FAIL: testdata' || grep -m1 -E '_test\.go:[0-9]+: ' <<<"$out"; } <<<"$out" | sed 's/^ *//' | cut -c1-150)
     echo "red    $name: $tests: $failure"
   fi
 done <testdata/red/list.txt
