proof: each test run claims a range of ports

Cause: bound each port from its choice until its process started.

Now a run claims a whole range by listening on its first port until the run ends, and moves on to the next range if another run has it. Within its range ports are picked as before. TestRunsDontSharePorts now claims twice and wants two ranges; it is as strict, since a run uses no port outside its range.

--- a/internal/proof/ports_test.go
+++ b/internal/proof/ports_test.go
@@ -1,82 +1,60 @@
 package proof_test
 
 import (
-	"errors"
 	"fmt"
+	"net"
 	"os"
 	"sync/atomic"
 	"testing"
-
-	"golang.org/x/sys/unix"
 )
 
-// nextPort is the last port handed out. Ports start below the range from which the kernel
-// assigns ports to outgoing connections.
+// Each test run has a range of ports of its own, below the range from which the kernel assigns
+// ports to outgoing connections.
+const firstPort, portRanges, portsPerRange = 20000, 40, 300
+
+// portRange keeps the range of this run claimed.
+var portRange net.Listener
+
+// nextPort is the last port handed out.
 var nextPort atomic.Int32
 
 func init() {
-	const first, slots, portsPerSlot = 20000, 40, 300
-	nextPort.Store(int32(first + os.Getpid()%slots*portsPerSlot))
-}
-
-// port is a reserved port of 127.0.0.1. Its socket is bound, so that no other test run gets the
-// port, but doesn't listen, so that connections are refused.
-type port struct {
-	num    int
-	socket int
+	var port int32
+	port, portRange = claimPorts()
+	nextPort.Store(port)
 }
 
-// reservePort reserves the next port that is free.
-func reservePort() (*port, error) {
-	for {
-		po := &port{num: int(nextPort.Add(1))}
-		var err error
-		if po.socket, err = unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0); err != nil {
-			return nil, err
-		}
-		err = unix.Bind(po.socket, &unix.SockaddrInet4{Port: po.num, Addr: [4]byte{127, 0, 0, 1}})
-		if err == nil {
-			return po, nil
-		}
-		_ = unix.Close(po.socket)
-		if !errors.Is(err, unix.EADDRINUSE) {
-			return nil, err
+// claimPorts claims a range of ports that no other test run has, by listening on its first port,
+// which it returns. The range is free again once the listener is closed or the process ends.
+func claimPorts() (int32, net.Listener) {
+	for num := range portRanges {
+		port := firstPort + (os.Getpid()+num)%portRanges*portsPerRange
+		if ls, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			return int32(port), ls
 		}
 	}
+	panic("all ranges of ports are taken")
 }
 
-// addr returns the address of a process; the first call reserves a port for it.
+// addr returns the address of a process; the first call picks a free port for it.
 func (pr *procs) addr(name string) string {
-	if pr.addrs[name] == "" {
-		po, err := reservePort()
-		if err != nil {
-			panic(err)
+	for pr.addrs[name] == "" {
+		addr := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
+		if ls, err := net.Listen("tcp", addr); err == nil {
+			pr.addrs[name] = addr
+			_ = ls.Close()
 		}
-		pr.ports[name] = po
-		pr.addrs[name] = fmt.Sprintf("127.0.0.1:%d", po.num)
 	}
 	return pr.addrs[name]
 }
 
-// release frees the port of a process that is about to listen on it.
-func (pr *procs) release(name string) {
-	if po := pr.ports[name]; po != nil {
-		_ = unix.Close(po.socket)
-		delete(pr.ports, name)
-	}
-}
-
 // TestRunsDontSharePorts guards against two test runs at once that pick the same port before the
 // processes of either listen on it.
 func TestRunsDontSharePorts(t *testing.T) {
-	next := nextPort.Load()
-	one := &procs{addrs: map[string]string{}, ports: map[string]*port{}}
-	two := &procs{addrs: map[string]string{}, ports: map[string]*port{}}
-	addr := one.addr("log")
-	nextPort.Store(next)
-	if other := two.addr("log"); other == addr {
-		t.Errorf("both runs have %s", addr)
+	one, oneRange := claimPorts()
+	two, twoRange := claimPorts()
+	if one == two {
+		t.Errorf("both runs begin at port %d", one)
 	}
-	one.release("log")
-	two.release("log")
+	_, _ = oneRange.Close(), twoRange.Close()
 }
--- a/internal/proof/procs_test.go
+++ b/internal/proof/procs_test.go
@@ -38,12 +38,10 @@
 
 // procs holds the processes of one script and the clients' requests to them.
 type procs struct {
-	env   *testscript.Env
-	dir   string
-	procs map[string]*proc
-	addrs map[string]string
-	// ports holds the reserved ports of the addresses whose processes have not started.
-	ports   map[string]*port
+	env     *testscript.Env
+	dir     string
+	procs   map[string]*proc
+	addrs   map[string]string
 	proxies map[string]*proxy
 	vms     []cloud.VM
 	nodes   int
@@ -65,7 +63,7 @@
 
 func newProcs(env *testscript.Env) *procs {
 	pr := &procs{
-		env: env, dir: env.WorkDir, procs: map[string]*proc{}, addrs: map[string]string{}, ports: map[string]*port{}, proxies: map[string]*proxy{},
+		env: env, dir: env.WorkDir, procs: map[string]*proc{}, addrs: map[string]string{}, proxies: map[string]*proxy{},
 		starts: map[string]int{}, results: map[string]*result{}, loads: map[string]chan *finishedLoad{},
 	}
 	env.Defer(pr.stopAll)
@@ -86,8 +84,6 @@
 	defer func() { _ = log.Close() }()
 	cmd := exec.Command(filepath.Join(pr.buildDir(name), args[0]), args[1:]...)
 	cmd.Stdout, cmd.Stderr = log, log
-	pr.release(name)
-	pr.release(name + ".peers")
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -116,9 +112,6 @@
 	for _, px := range pr.proxies {
 		px.close()
 	}
-	for name := range pr.ports {
-		pr.release(name)
-	}
 	pr.showLogs()
 	pr.failOnRaces()
 }
