relay: log the limits that servers name

No log line showed Server-Limit, so that a node that does not know of a limit could not be told from one that keeps it alone. server_limit names the server, the rate and what it was read from; the header was not read at all before.

--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/pool"
 	"lycheepick/internal/rule/retry"
@@ -93,6 +94,8 @@
 	// Authentic is set if the response carries the mark of the backend server, so that it
 	// doesn't come from an intermediary.
 	Authentic bool
+	// Limit is the limit that the response names for its server.
+	Limit permit.Limit
 	// SentAt is when the request had been handed to the kernel.
 	SentAt time.Time
 	Head   *fasthttp.ResponseHeader
@@ -159,6 +162,8 @@
 	mu     sync.Mutex
 	fleets map[units.TargetID]*service
 	pool   *pool.Pool
+	// permits holds the limits that servers name.
+	permits *permit.Book
 	// maxWaits holds, by route name, the longest time between a request's arrival and its
 	// deadline.
 	maxWaits map[string]time.Duration
@@ -201,7 +206,7 @@
 // New returns a relay without servers and limits; SetServers and SetLimits add them.
 func New(log *zap.Logger, zone units.ZoneID, me Meter, to pool.Tolerance) *Relay {
 	return &Relay{
-		Log: log, Zone: zone, Meter: me, fleets: map[units.TargetID]*service{}, pool: pool.New(to), maxWaits: map[string]time.Duration{},
+		Log: log, Zone: zone, Meter: me, fleets: map[units.TargetID]*service{}, pool: pool.New(to), permits: permit.NewBook(), maxWaits: map[string]time.Duration{},
 		ObserveFirstByte: func(time.Duration) {},
 	}
 }
@@ -400,6 +405,29 @@
 	rl.service(id).fleet.FirstToken(time.Now(), pi.Server.ID, pi.ticket)
 }
 
+// observeLimit records the limit that a response names for its server. Only a response that
+// is the server's own shows that it names none.
+func (rl *Relay) observeLimit(sv *server.Server, rp *Reply) {
+	if rp.Misdirected || (!rp.Limit.Named && !rp.Authentic) {
+		return
+	}
+	rl.mu.Lock()
+	changed := rl.permits.Observe(time.Now(), permitServer(sv), rp.Limit)
+	rl.mu.Unlock()
+	if changed {
+		rl.logServerLimit(sv.ID, rp.Limit, "answer")
+	}
+}
+
+func (rl *Relay) logServerLimit(id units.VMID, li permit.Limit, source string) {
+	rl.Log.Info("server_limit", zap.String("server", string(id)), zap.Bool("named", li.Named),
+		zap.Float64("rate", float64(li.Rate)), zap.String("source", source))
+}
+
+func permitServer(sv *server.Server) permit.Server {
+	return permit.Server{ID: sv.ID, StartUnixMS: sv.StartUnixMS}
+}
+
 func (rl *Relay) recordEnd(id units.TargetID, pi *picked, res place.Result) {
 	rl.mu.Lock()
 	change := rl.service(id).fleet.End(time.Now(), pi.Server.ID, pi.ticket, res)
--- a/internal/rule/units/units.go
+++ b/internal/rule/units/units.go
@@ -43,6 +43,8 @@
 	Tokens int64
 	// TokensPerSecond is a rate of model tokens.
 	TokensPerSecond float64
+	// RequestsPerSecond is a rate of requests.
+	RequestsPerSecond float64
 	// PricePerHour is the price of a VM in US dollars an hour.
 	PricePerHour float64
 	// Bytes is a number of bytes.
