--- a/internal/bench/crowd/crowd.go
+++ b/internal/bench/crowd/crowd.go
@@ -31,6 +31,12 @@
 	// IgnoreRetryAfter makes callers retry after 50 ms whatever delay the node asked for.
 	IgnoreRetryAfter bool
 	Reclaims         []Reclaim
+	// Limits are the limits that servers name, and Faults the faults of nodes.
+	Limits []NamedLimit
+	Faults []Fault
+	// BusyNodes is the number of nodes that get nine in ten of the requests, 0 if all nodes get
+	// equal parts.
+	BusyNodes int
 }
 
 // Reclaim gives notice to servers at At and ends them Notice later. Replacements start to
@@ -47,7 +53,10 @@
 	// requests in flight, enforces an equal static share of each limit, and never refuses a
 	// request because it would be late.
 	Naive bool
-	Load  Load
+	// Unlimited leaves out the customers' limits, which take most of the time of a run with
+	// hundreds of nodes.
+	Unlimited bool
+	Load      Load
 	// Duration is the virtual time during which requests arrive.
 	Duration time.Duration
 	Seed     uint64
@@ -96,6 +105,8 @@
 	// LimitRatio is the maximum admitted for the first customer in any window, as a ratio to
 	// what the limit and its tolerance allow.
 	LimitRatio float64
+	// ServerLimits summarises how the limits that servers name were kept.
+	ServerLimits LimitResult
 	// Seconds holds the counts by the second of arrival.
 	Seconds []Counts
 }
@@ -180,6 +191,12 @@
 	for num, no := range ru.nodes {
 		ru.scheduleAt(-warmupTime+time.Duration(num)*exchangePeriod/time.Duration(se.Nodes), no.exchange)
 	}
+	for _, li := range se.Load.Limits {
+		ru.scheduleAt(li.At, func() { ru.engines[li.Server].setLimit(ru.now, li.Rate) })
+	}
+	for _, fa := range se.Load.Faults {
+		ru.scheduleFault(fa)
+	}
 	for _, rc := range se.Load.Reclaims {
 		ru.scheduleAt(rc.At, func() { ru.reclaim(rc) })
 	}
@@ -190,6 +207,7 @@
 		ev.fire()
 	}
 	ru.result.LimitRatio = ru.limitRatio()
+	ru.result.ServerLimits = ru.limitResult()
 	return ru.result
 }
 
@@ -236,7 +254,35 @@
 	co := rq.bucket()
 	co.Requests++
 	ru.result.Requests++
-	ru.nodes[ru.arrivals.IntN(len(ru.nodes))].serve(rq)
+	ru.arrivalNode().serve(rq)
+}
+
+// arrivalNode draws the node to which a balancer sends a new request.
+func (ru *run) arrivalNode() *node {
+	busy := len(ru.nodes)
+	if ru.Load.BusyNodes > 0 && ru.arrivals.Float64() < busyShare {
+		busy = ru.Load.BusyNodes
+	}
+	first := ru.arrivals.IntN(busy)
+	for idx := range ru.nodes { // A node that is down gets no new connections.
+		if no := ru.nodes[(first+idx)%len(ru.nodes)]; !no.down() {
+			return no
+		}
+	}
+	return ru.nodes[first]
+}
+
+// busyShare is the share of the requests at Load.BusyNodes.
+const busyShare = 0.9
+
+// scheduleFault schedules a fault of nodes. A node that was stopped starts anew after it.
+func (ru *run) scheduleFault(fa Fault) {
+	for num := fa.First; num <= fa.Last; num++ {
+		ru.nodes[num].faults = append(ru.nodes[num].faults, fa)
+		if fa.Kind == Stopped {
+			ru.scheduleAt(fa.At+fa.For, ru.nodes[num].restart)
+		}
+	}
 }
 
 func (ru *run) newRequest(hot float64) *request {
@@ -295,6 +341,13 @@
 
 // updateServers gives all nodes the current list of servers.
 func (ru *run) updateServers() {
+	list := ru.serverList()
+	for _, no := range ru.nodes {
+		no.setServers(list)
+	}
+}
+
+func (ru *run) serverList() []server.Server {
 	var list []server.Server
 	for _, en := range ru.engines {
 		if !en.dead {
@@ -303,9 +356,7 @@
 			}})
 		}
 	}
-	for _, no := range ru.nodes {
-		no.setServers(list)
-	}
+	return list
 }
 
 // reclaim gives notice to servers, ends them, and starts replacements after the outage.
@@ -319,6 +370,7 @@
 	ru.scheduleAfter(rc.Notice, func() {
 		for _, en := range reclaimed {
 			en.dead = true
+			en.endPeriod(ru.now)
 			for rq := range en.running {
 				rq.serverGone()
 			}
--- a/internal/bench/crowd/engine.go
+++ b/internal/bench/crowd/engine.go
@@ -23,6 +23,9 @@
 	// cacheUsed is the number of tokens in cache, useCount a logical clock for its eviction.
 	cacheUsed units.Tokens
 	useCount  int
+	// period is the current one of periods, nil while the server names no limit.
+	period  *namedPeriod
+	periods []*namedPeriod
 }
 
 // cachedBlock is a prefix block in the cache; lastUse is the useCount of its last use.
@@ -95,6 +98,7 @@
 // the attempt has ended or the server was replaced by then.
 func (en *engine) start(rq *request) {
 	ru := rq.ru
+	en.recordArrival(ru.now, rq.node)
 	en.running[rq] = struct{}{}
 	fresh := en.prefill(&rq.ask)
 	ru.result.PrefilledTokens += fresh
@@ -121,6 +125,7 @@
 // firstToken handles the first token, which decides whether the request is in time.
 func (rq *request) firstToken() {
 	rq.node.fleet.FirstToken(rq.ru.now, rq.engine.id, rq.ticket)
+	rq.passLimitOn()
 	rq.started = true
 	took := rq.ru.now.Sub(rq.at)
 	switch {
