relay: nodes keep together within the limits that servers name

No node read the header, and nothing in the design could have kept a rate of a server over all nodes: customers' limits are divided by reports, which take longer than the burst of a fleet whose nodes may each send one.

A request goes to a limited server only with a permit. One node issues those of a server, found by rendezvous hashing among the nodes that answer, at the rate that the server names. Limits spread with the reports. Requests without a permit go elsewhere, or are refused with when to come back if all servers are limited. An issuer issues only the part of the nodes that it hears from, so that the parts of a cut fleet keep the limit together. The check stands at the choice of each attempt (first, retry, resumption) and once more before the bytes are written.

--- a/internal/bench/crowd/crowd.go
+++ b/internal/bench/crowd/crowd.go
@@ -160,6 +160,7 @@
 	lastSeq    int
 	engines    []*engine
 	nodes      []*node
+	byID       map[units.VMID]*node
 	lastUnique place.BlockID
 	seen       map[place.BlockID]bool
 	admissions []admission
@@ -176,14 +177,15 @@
 func Run(se Setup) Result {
 	ru := &run{
 		Setup: se, arrivals: rand.New(rand.NewPCG(se.Seed, 17)), rnd: rand.New(rand.NewPCG(se.Seed, 18)),
-		now: epoch, lastUnique: 1 << 24, seen: map[place.BlockID]bool{},
+		now: epoch, lastUnique: 1 << 24, seen: map[place.BlockID]bool{}, byID: map[units.VMID]*node{},
 	}
 	ru.result.Seconds = make([]Counts, int(se.Duration/time.Second)+1)
 	for num := range se.Servers {
 		ru.engines = append(ru.engines, newEngine(num))
 	}
 	for num := range se.Nodes {
-		ru.nodes = append(ru.nodes, ru.newNode(num))
+		no := ru.newNode(num)
+		ru.nodes, ru.byID[no.id] = append(ru.nodes, no), no
 	}
 	ru.updateServers()
 	// Nodes exchange reports before the first request, so that they know each other and
--- a/internal/bench/crowd/engine.go
+++ b/internal/bench/crowd/engine.go
@@ -99,6 +99,7 @@
 func (en *engine) start(rq *request) {
 	ru := rq.ru
 	en.recordArrival(ru.now, rq.node)
+	rq.sentAt = ru.now
 	en.running[rq] = struct{}{}
 	fresh := en.prefill(&rq.ask)
 	ru.result.PrefilledTokens += fresh
--- a/internal/bench/crowd/limit.go
+++ b/internal/bench/crowd/limit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/units"
 )
 
@@ -51,6 +52,8 @@
 	// allows there.
 	Periods, Broken int
 	Worst           float64
+	// WorstOfAll is Worst with the arrivals from all nodes, also those that the server hasn't told.
+	WorstOfAll float64
 	// Used and Allowed are the arrivals at limited servers from limitContact on, and what the
 	// limits allow in that time.
 	Used, Allowed float64
@@ -117,35 +120,45 @@
 	if pe.to.IsZero() {
 		pe.to = end
 	}
-	re.Periods++
-	broken := false
-	var counted []time.Time
 	contact := pe.from.Add(limitContact)
 	for _, ar := range pe.arrivals {
 		if ar.at.After(contact) {
 			re.Used++
 		}
+	}
+	if pe.to.After(contact) {
+		re.Allowed += pe.allows(contact, pe.to)
+	}
+	re.Periods++
+	worst := pe.worst(func(ar limitArrival) bool {
 		told, ok := pe.told[ar.node]
-		if !ok || ar.at.Before(told.Add(limitTold)) || ar.node.excused(ar.at) {
+		return ok && !ar.at.Before(told.Add(limitTold)) && !ar.node.excused(ar.at)
+	})
+	re.Worst = max(re.Worst, worst)
+	if worst > 1 {
+		re.Broken++
+	}
+	re.WorstOfAll = max(re.WorstOfAll, pe.worst(func(ar limitArrival) bool { return ar.at.After(contact) && !ar.node.excused(ar.at) }))
+}
+
+// worst returns the largest number of arrivals that count in a window that ends after
+// limitContact, in relation to what the rule allows there.
+func (pe *namedPeriod) worst(counts func(limitArrival) bool) float64 {
+	worst := 0.0
+	var window []time.Time
+	for _, ar := range pe.arrivals {
+		if !counts(ar) {
 			continue
 		}
-		counted = append(counted, ar.at)
-		for ar.at.Sub(counted[0]) > limitWindow {
-			counted = counted[1:]
+		window = append(window, ar.at)
+		for ar.at.Sub(window[0]) > limitWindow {
+			window = window[1:]
 		}
-		if ar.at.Before(contact) {
-			continue
+		if !ar.at.Before(pe.from.Add(limitContact)) {
+			worst = max(worst, float64(len(window))/(excessFactor*pe.allows(ar.at.Add(-limitWindow), ar.at)+excessSlack))
 		}
-		allowed := excessFactor*pe.allows(ar.at.Add(-limitWindow), ar.at) + excessSlack
-		re.Worst = max(re.Worst, float64(len(counted))/allowed)
-		broken = broken || float64(len(counted)) > allowed
-	}
-	if broken {
-		re.Broken++
-	}
-	if pe.to.After(contact) {
-		re.Allowed += pe.allows(contact, pe.to)
 	}
+	return worst
 }
 
 // limitResult judges all periods.
@@ -208,9 +221,13 @@
 	return false
 }
 
-// passLimitOn records that a node passes on an answer of a server that names a limit.
+// passLimitOn shows the node the limit that its server names in the answer, which it passes on.
 func (rq *request) passLimitOn() {
+	ru := rq.ru
+	rq.node.permits.Observe(ru.now, rq.sentAt, permit.Server{ID: rq.engine.id, StartUnixMS: rq.engine.incarnation}, permit.Limit{
+		Rate: rq.engine.limit(), Named: rq.engine.period != nil,
+	})
 	if pe := rq.engine.period; pe != nil && pe.told[rq.node].IsZero() {
-		pe.told[rq.node] = rq.ru.now
+		pe.told[rq.node] = ru.now
 	}
 }
--- a/internal/bench/crowd/limit_test.go
+++ b/internal/bench/crowd/limit_test.go
@@ -76,11 +76,14 @@
 			t.Parallel()
 			re := crowd.Run(crowd.Setup{Nodes: lc.nodes, Servers: lc.servers, Unlimited: lc.nodes > 8, Load: lc.load, Duration: lc.duration(), Seed: 5})
 			li := re.ServerLimits
-			t.Logf("worst window %.2f of what the rule allows, %.2f of what the limits allow used, %d of %d requests in time, %d refused",
-				li.Worst, li.Used/li.Allowed, re.InTime, re.Requests, re.Refused)
+			t.Logf("worst window %.2f of what the rule allows, %.2f with nodes that the server hasn't told, %.2f of what the limits allow used, %d of %d requests in time, %d refused",
+				li.Worst, li.WorstOfAll, li.Used/li.Allowed, re.InTime, re.Requests, re.Refused)
 			if li.Broken > 0 || li.Periods == 0 {
 				t.Errorf("LIMIT: have %d of %d periods in which it was broken, want none", li.Broken, li.Periods)
 			}
+			if li.WorstOfAll > 1 {
+				t.Errorf("have %.2f of what the rule allows from all nodes, told or not, want 1 or less", li.WorstOfAll)
+			}
 			if share := li.Used / li.Allowed; share < 0.5 {
 				t.Errorf("have %.2f of what the limits allow used, want half", share)
 			}
--- a/internal/bench/crowd/node.go
+++ b/internal/bench/crowd/node.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lycheepick/internal/rule/admit"
+	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/pool"
 	"lycheepick/internal/rule/retry"
@@ -36,9 +37,14 @@
 	pool   *pool.Pool
 	watch  *watch.Selector
 	budget *retry.Budget
-	peers  []units.VMID
-	byID   map[units.VMID]*node
-	rounds uint64
+	// permits and members are the state of the limits that servers name, and asking holds the
+	// servers whose permits are being asked for.
+	permits     *permit.Book
+	members     *permit.Members
+	asking      map[permit.Server]bool
+	permitRetry permit.RetryAfter
+	peers       []units.VMID
+	rounds      uint64
 	// servers and inFlight are the state of a naive node.
 	servers  []server.Server
 	inFlight map[units.VMID]int
@@ -60,7 +66,8 @@
 	ru := no.ru
 	no.incarnation++
 	no.fleet, no.pool, no.watch = place.NewFleet(), pool.New(ru.tolerance()), watch.New(no.id)
-	no.budget, no.byID, no.inFlight = retry.NewBudget(retryShare, retryReserve), map[units.VMID]*node{}, map[units.VMID]int{}
+	no.budget, no.inFlight = retry.NewBudget(retryShare, retryReserve), map[units.VMID]int{}
+	no.permits, no.members, no.asking, no.permitRetry = permit.NewBook(), permit.NewMembers(no.id), map[permit.Server]bool{}, permit.RetryAfter{}
 	no.peers = nil
 	li := ru.limit()
 	if ru.Naive {
@@ -78,6 +85,7 @@
 			if other != num {
 				no.peers = append(no.peers, nodeID(other))
 				no.pool.AddPeer(now, nodeID(other))
+				no.members.Add(now, nodeID(other))
 			}
 		}
 	}
@@ -111,17 +119,15 @@
 	if no.ru.Naive || no.ru.elapsed() > no.ru.Duration {
 		return
 	}
-	if len(no.byID) == 0 {
-		for _, other := range no.ru.nodes {
-			no.byID[other.id] = other
-		}
-	}
-	for _, id := range no.watch.SelectPeers(no.rounds, "", no.peers) {
-		if no.isolated() || no.byID[id].isolated() {
+	for _, id := range append(no.watch.SelectPeers(no.rounds, "", no.peers), no.members.Suspects()...) {
+		if no.isolated() || no.ru.byID[id].isolated() {
+			if !no.down() {
+				no.members.CallFailed(no.ru.now, id)
+			}
 			continue
 		}
-		no.byID[id].receiveFrom(no)
-		no.receiveFrom(no.byID[id])
+		no.ru.byID[id].receiveFrom(no)
+		no.receiveFrom(no.ru.byID[id])
 	}
 	no.rounds++
 	no.ru.scheduleAfter(exchangePeriod, no.exchange)
@@ -137,6 +143,8 @@
 	no.fleet.AddPeerBlocks(now, sent)
 	no.pool.MergeReport(now, other.id, other.incarnation, other.pool.Admitted())
 	no.pool.MergeRelayed(now, other.pool.Relay(now))
+	no.members.Heard(now, other.id, true)
+	no.permits.Merge(now, other.permits.Observations(now))
 }
 
 // request is one request of a caller.
@@ -146,12 +154,15 @@
 	customer    units.CustomerID
 	ask         place.Request
 	callerTries int
+	// asks counts the requests for permits since the last dispatch.
+	asks int
 	// The attempt in progress, and whether its first token has been sent (started) and the
 	// outcome of the request counted.
 	node    *node
 	engine  *engine
 	ticket  place.Ticket
 	sends   int
+	sentAt  time.Time
 	started bool
 	counted bool
 }
@@ -181,9 +192,18 @@
 		return
 	}
 	no.budget.RecordFirst()
-	if !no.send(rq) {
-		no.pool.Refund(rq.customer, rq.size())
+	no.send(rq)
+}
+
+// refuseAdmitted refuses a request that the customer's limit has been charged for. One that a
+// server had begun is lost.
+func (no *node) refuseAdmitted(rq *request, after time.Duration) {
+	if rq.sends > 0 {
+		rq.record(func(co *Counts) *int { return &co.Lost })
+		return
 	}
+	no.pool.Refund(rq.customer, rq.size())
+	rq.refuse(after)
 }
 
 // refuse refuses the request, with the delay after which the caller may retry. A caller
@@ -200,20 +220,40 @@
 	rq.ru.scheduleAfter(after, func() { rq.ru.nodes[rq.ru.rnd.IntN(len(rq.ru.nodes))].serve(rq) })
 }
 
-// send dispatches a request to a server, or refuses it and returns false.
-func (no *node) send(rq *request) bool {
+// send dispatches a request to a server, after it has asked for permits if need be, or refuses
+// it.
+func (no *node) send(rq *request) {
+	rq.asks = 0
+	no.trySend(rq)
+}
+
+// maxAsks is that of the relay.
+const maxAsks = 3
+
+func (no *node) trySend(rq *request) {
 	ch, found := no.choose(rq)
+	if ch.Held != nil && rq.asks < maxAsks && (!found || rq.asks == 0) {
+		rq.asks++
+		if sv := permitServer(ch.Held); !no.asking[sv] {
+			no.ask(sv, func() { no.trySend(rq) })
+			return
+		}
+		if !found { // Wait for the answer to the request in progress.
+			no.ru.scheduleAfter(roundTrip, func() { no.trySend(rq) })
+			return
+		}
+	}
 	if !found {
-		rq.refuse(immediateRetryDelay)
-		return false
+		no.refuseAdmitted(rq, no.noServerRetryAfter())
+		return
 	}
 	if !no.ru.Naive && rq.sends == 0 {
 		hopeless, after := admit.ShouldRefuse(admit.Prediction{
 			FirstToken: ch.FirstToken, Waited: no.ru.now.Sub(rq.at), Remaining: rq.timeLeft(), Target: firstTokenTarget, SpareCapacity: ch.SpareCapacity,
 		})
 		if hopeless {
-			rq.refuse(after)
-			return false
+			no.refuseAdmitted(rq, after)
+			return
 		}
 	}
 	if rq.customer == customerID(0) && rq.sends == 0 {
@@ -221,14 +261,79 @@
 	}
 	rq.sends++
 	rq.ticket = no.fleet.Dispatch(no.ru.now, &rq.ask, &ch)
+	no.permits.Use(no.ru.now, permitServer(&ch.Server))
 	no.inFlight[ch.Server.ID]++
 	rq.engine = no.ru.engineOf(ch.Server.ID)
 	rq.engine.start(rq)
-	return true
+}
+
+func permitServer(sv *server.Server) permit.Server {
+	return permit.Server{ID: sv.ID, StartUnixMS: sv.StartUnixMS}
+}
+
+// askTimeout is the timeout of a request for permits.
+const askTimeout = 150 * time.Millisecond
+
+// ask asks the issuer of a server's permits for some and then calls done. A peer that is not
+// the issuer in its own view names the one that is.
+func (no *node) ask(sv permit.Server, done func()) {
+	no.asking[sv] = true
+	rq := no.permits.Request(no.ru.now, sv)
+	no.askNode(no.members.Issuer(no.ru.now, sv), rq, true, func() {
+		delete(no.asking, sv)
+		done()
+	})
+}
+
+func (no *node) askNode(id units.VMID, rq permit.Request, redirect bool, done func()) {
+	if id == no.id {
+		no.permits.Receive(no.ru.now, no.permits.Issue(no.ru.now, rq, no.members.Share(no.ru.now)))
+		done()
+		return
+	}
+	to := no.ru.byID[id]
+	if no.isolated() || to.isolated() {
+		no.ru.scheduleAfter(askTimeout, func() {
+			no.members.CallFailed(no.ru.now, id)
+			no.permits.Failed(no.ru.now, rq.Server)
+			done()
+		})
+		return
+	}
+	no.ru.scheduleAfter(roundTrip, func() {
+		issuer := to.members.Issuer(no.ru.now, rq.Server)
+		switch {
+		case issuer == to.id:
+			no.permits.Receive(no.ru.now, to.permits.Issue(no.ru.now, rq, to.members.Share(no.ru.now)))
+			done()
+		case redirect && issuer != no.id:
+			to.members.Suspect(issuer)
+			no.askNode(issuer, rq, false, done)
+		default:
+			to.members.Suspect(issuer)
+			no.permits.Failed(no.ru.now, rq.Server)
+			done()
+		}
+	})
+}
+
+// noServerRetryAfter returns when a request may come back that no server takes.
+func (no *node) noServerRetryAfter() time.Duration {
+	rate, limited := units.RequestsPerSecond(0), false
+	for _, sv := range no.servers {
+		if li := no.permits.Limit(permitServer(&sv)); li.Named {
+			rate, limited = rate+li.Rate, true
+		}
+	}
+	if !limited {
+		return immediateRetryDelay
+	}
+	return no.permitRetry.Next(no.ru.now, float64(rate)/float64(len(no.peers)+1))
 }
 
 func (no *node) choose(rq *request) (place.Choice, bool) {
 	if !no.ru.Naive {
+		rq.ask.Gate = func(sv *server.Server) permit.Gate { return no.permits.Gate(no.ru.now, permitServer(sv)) }
 		return no.fleet.Choose(no.ru.now, &rq.ask)
 	}
 	best := -1
@@ -261,7 +366,5 @@
 		return
 	}
 	rq.ask.Avoid = append(rq.ask.Avoid, rq.engine.id)
-	if !rq.node.send(rq) && !rq.counted {
-		rq.record(func(co *Counts) *int { return &co.Lost })
-	}
+	rq.node.send(rq)
 }
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -34,6 +34,9 @@
 	KindNotSent Kind = "not_sent"
 	// KindLeaving marks an attempt that was not sent since its server began to leave.
 	KindLeaving Kind = "leaving"
+	// KindLimited marks an attempt that was not sent since its server named a limit after it was
+	// chosen.
+	KindLimited Kind = "limited"
 	// KindErrored marks an attempt for which the server returned an error response.
 	KindErrored Kind = "errored"
 	// KindBroken marks an attempt whose response was truncated or malformed.
@@ -82,6 +85,10 @@
 	// Leaving reports whether the server has been removed or replaced, or has begun to drain,
 	// since it was chosen. It has to be checked right before the request is sent.
 	Leaving func() bool
+	// Limited reports whether the server has named a limit since it was chosen, so that the
+	// request needs a permit that it doesn't have. It has to be checked right before the request
+	// is sent.
+	Limited func() bool
 }
 
 // Reply is the response of a backend server, with the body unread.
@@ -107,7 +114,7 @@
 // Exchange sends one request to backend servers.
 type Exchange interface {
 	// Send sends the request and reads the response header. Its errors are of the kinds
-	// KindNotSent, KindLeaving and KindBroken.
+	// KindNotSent, KindLeaving, KindLimited and KindBroken.
 	Send(ctx context.Context, at *Attempt) (*Reply, error)
 }
 
@@ -138,8 +145,12 @@
 type Counts struct {
 	Received, Done, NotRun, Unknown, Gone atomic.Int64
 	Limited, Overload, NoServer           atomic.Int64
-	Retries, Resumes                      atomic.Int64
-	Sent, Refused                         atomic.Int64
+	// NoPermit counts requests refused under the limits that servers name, PermitsAsked,
+	// PermitsFailed and PermitsIssued the requests for permits, those without an answer, and the
+	// permits that this node issued.
+	NoPermit, PermitsAsked, PermitsFailed, PermitsIssued atomic.Int64
+	Retries, Resumes                                     atomic.Int64
+	Sent, Refused                                        atomic.Int64
 }
 
 // Relay serves requests. Set its fields before first use; it is then safe for concurrent
@@ -152,6 +163,8 @@
 	// ObserveFirstByte is called with the time from arrival to the first byte of each
 	// response.
 	ObserveFirstByte func(time.Duration)
+	// AskPermits asks the issuer of a server's permits. Without it this node issues them.
+	AskPermits func(context.Context, permit.Request) (permit.Grant, error)
 
 	draining atomic.Pointer[drainCutoffs]
 	// syncedAt is when the list of servers last matched the store, in Unix nanoseconds.
@@ -164,6 +177,8 @@
 	pool   *pool.Pool
 	// permits holds the limits that servers name.
 	permits *permit.Book
+	// asks holds the requests for permits in progress; each channel is closed at the end.
+	asks map[permit.Server]chan struct{}
 	// maxWaits holds, by route name, the longest time between a request's arrival and its
 	// deadline.
 	maxWaits map[string]time.Duration
@@ -194,6 +209,8 @@
 	fleet      *place.Fleet
 	budget     *retry.Budget
 	listReadAt time.Time
+	// permitRetry spreads the retries of requests refused for want of permits.
+	permitRetry permit.RetryAfter
 }
 
 const (
@@ -205,10 +222,14 @@
 
 // New returns a relay without servers and limits; SetServers and SetLimits add them.
 func New(log *zap.Logger, zone units.ZoneID, me Meter, to pool.Tolerance) *Relay {
-	return &Relay{
-		Log: log, Zone: zone, Meter: me, fleets: map[units.TargetID]*service{}, pool: pool.New(to), permits: permit.NewBook(), maxWaits: map[string]time.Duration{},
+	rl := &Relay{
+		Log: log, Zone: zone, Meter: me, fleets: map[units.TargetID]*service{}, pool: pool.New(to), permits: permit.NewBook(), asks: map[permit.Server]chan struct{}{}, maxWaits: map[string]time.Duration{},
 		ObserveFirstByte: func(time.Duration) {},
 	}
+	rl.AskPermits = func(_ context.Context, rq permit.Request) (permit.Grant, error) {
+		return rl.IssuePermits(time.Now(), rq, 1), nil
+	}
+	return rl
 }
 
 func (rl *Relay) service(id units.TargetID) *service {
@@ -240,6 +261,10 @@
 		se.fleet.SetServers(now, by[id])
 		se.listReadAt = now
 	}
+	rl.permits.Retain(now, func(sv permit.Server) bool {
+		start, ok := open[sv.ID]
+		return ok && start == sv.StartUnixMS
+	})
 }
 
 // isLeaving reports whether a server that was chosen gets no more requests.
@@ -273,19 +298,25 @@
 	SentPrefixes map[units.VMID][]place.BlockID
 	Admitted     pool.Totals
 	PeerTotals   map[units.CustomerID][]pool.RelayedUsage
+	// ServerLimits are limits that servers have named.
+	ServerLimits []permit.Observation
 }
 
 // ApplyPeerReport merges a peer's report into the local state. inc is the peer's
 // incarnation.
 func (rl *Relay) ApplyPeerReport(now time.Time, node units.VMID, inc int64, rep LoadReport) {
 	rl.mu.Lock()
-	defer rl.mu.Unlock()
 	for _, se := range rl.fleets {
 		se.fleet.SetPeerLoads(now, rl.pool.Peers(), node, rep.Loads)
 		se.fleet.AddPeerBlocks(now, rep.SentPrefixes)
 	}
 	rl.pool.MergeReport(now, node, inc, rep.Admitted)
 	rl.pool.MergeRelayed(now, rep.PeerTotals)
+	changes := rl.permits.Merge(now, rep.ServerLimits)
+	rl.mu.Unlock()
+	for _, ob := range changes {
+		rl.logServerLimit(ob.ID, ob.Limit, "peer "+string(node))
+	}
 }
 
 // ExpectPeer registers a peer before its first report arrives.
@@ -305,6 +336,7 @@
 		se.fleet.RecentBlocks(now, rep.SentPrefixes)
 	}
 	rep.Admitted, rep.PeerTotals = rl.pool.Admitted(), rl.pool.Relay(now)
+	rep.ServerLimits = rl.permits.Observations(now)
 	return rep
 }
 
@@ -381,20 +413,26 @@
 	// last matched the store, sent the time of dispatch.
 	listAge, serversAge time.Duration
 	sent                time.Time
+	// limited is set if the server named a limit when it was chosen, so that the dispatch took
+	// a permit.
+	limited bool
 }
 
-// choose selects a server and records the dispatch. send decides from the predicted
-// latency whether to dispatch at all.
+// choose selects a server and records the dispatch, with a permit if the server names a limit.
+// send decides from the choice whether to dispatch at all.
 func (rl *Relay) choose(now time.Time, id units.TargetID, ask *place.Request, send func(*place.Choice) bool) (pi picked, found, sent bool) {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	se := rl.service(id)
 	pi.listAge = now.Sub(se.listReadAt)
 	pi.serversAge = now.Sub(time.Unix(0, rl.syncedAt.Load()))
+	ask.Gate = func(sv *server.Server) permit.Gate { return rl.permits.Gate(now, permitServer(sv)) }
 	pi.Choice, found = se.fleet.Choose(now, ask)
 	if !found || !send(&pi.Choice) {
 		return pi, found, false
 	}
+	pi.limited = rl.permits.Limit(permitServer(&pi.Server)).Named
+	rl.permits.Use(now, permitServer(&pi.Server))
 	pi.ticket, pi.sent = se.fleet.Dispatch(now, ask, &pi.Choice), now
 	return pi, true, true
 }
@@ -405,29 +443,6 @@
 	rl.service(id).fleet.FirstToken(time.Now(), pi.Server.ID, pi.ticket)
 }
 
-// observeLimit records the limit that a response names for its server. Only a response that
-// is the server's own shows that it names none.
-func (rl *Relay) observeLimit(sv *server.Server, rp *Reply) {
-	if rp.Misdirected || (!rp.Limit.Named && !rp.Authentic) {
-		return
-	}
-	rl.mu.Lock()
-	changed := rl.permits.Observe(time.Now(), permitServer(sv), rp.Limit)
-	rl.mu.Unlock()
-	if changed {
-		rl.logServerLimit(sv.ID, rp.Limit, "answer")
-	}
-}
-
-func (rl *Relay) logServerLimit(id units.VMID, li permit.Limit, source string) {
-	rl.Log.Info("server_limit", zap.String("server", string(id)), zap.Bool("named", li.Named),
-		zap.Float64("rate", float64(li.Rate)), zap.String("source", source))
-}
-
-func permitServer(sv *server.Server) permit.Server {
-	return permit.Server{ID: sv.ID, StartUnixMS: sv.StartUnixMS}
-}
-
 func (rl *Relay) recordEnd(id units.TargetID, pi *picked, res place.Result) {
 	rl.mu.Lock()
 	change := rl.service(id).fleet.End(time.Now(), pi.Server.ID, pi.ticket, res)
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -41,8 +41,9 @@
 	sink    Sink
 	machine *answer.Machine
 	ask     place.Request
-	// sends counts dispatches, events the stream events forwarded.
-	sends, events int
+	// sends counts dispatches, events the stream events forwarded, and asks the requests for
+	// permits since the last dispatch.
+	sends, events, asks int
 	// lastEvent is the ID of the last event forwarded.
 	lastEvent string
 	// last is the most recently selected server, and unsent the time from its selection until
@@ -113,7 +114,7 @@
 func (ru *run) loop(ctx context.Context) {
 	runs := 0
 	for {
-		pi, ok := ru.pick()
+		pi, ok := ru.pick(ctx)
 		if !ok {
 			return
 		}
@@ -138,21 +139,13 @@
 
 // pick selects a server. If none is usable, or none is predicted to respond in time, it
 // ends the request and returns false. Retries are dispatched regardless of the prediction.
-func (ru *run) pick() (picked, bool) {
-	now := time.Now()
+func (ru *run) pick(ctx context.Context) (picked, bool) {
+	ru.asks = 0
+	pi, found, sent, after := ru.tryPick()
+	for !sent && ru.acquire(ctx, &pi.Choice, found) {
+		pi, found, sent, after = ru.tryPick()
+	}
 	rq := ru.rq
-	var after time.Duration
-	pi, found, sent := ru.rl.choose(now, rq.Service, &ru.ask, func(ch *place.Choice) bool {
-		if ru.sends > 0 {
-			return true
-		}
-		var refuse bool
-		refuse, after = admit.ShouldRefuse(admit.Prediction{
-			FirstToken: ch.FirstToken, Waited: now.Sub(rq.Arrived), Remaining: rq.Deadline.Sub(now),
-			Target: rq.Route.TargetLatency, SpareCapacity: ch.SpareCapacity,
-		})
-		return !refuse
-	})
 	if ru.sends == 0 {
 		ru.rl.Meter.RecordDemand(rq.Service, pi.Uncached)
 	}
@@ -166,12 +159,44 @@
 		ru.last = pi
 		ru.abort(fasthttp.StatusServiceUnavailable, "no server can answer in time", after)
 	default:
-		ru.rl.Counts.NoServer.Add(1)
-		ru.abort(fasthttp.StatusServiceUnavailable, "no server is usable", noServerRetryAfter)
+		ru.abortNoServer()
 	}
 	return pi, false
 }
 
+// tryPick selects a server, unless permits should be asked for first. If it refuses the request,
+// after is the time to retry after.
+func (ru *run) tryPick() (pi picked, found, sent bool, after time.Duration) {
+	now := time.Now()
+	rq := ru.rq
+	pi, found, sent = ru.rl.choose(now, rq.Service, &ru.ask, func(ch *place.Choice) bool {
+		if ch.Held != nil && ru.asks == 0 {
+			return false
+		}
+		if ru.sends > 0 {
+			return true
+		}
+		var refuse bool
+		refuse, after = admit.ShouldRefuse(admit.Prediction{
+			FirstToken: ch.FirstToken, Waited: now.Sub(rq.Arrived), Remaining: rq.Deadline.Sub(now),
+			Target: rq.Route.TargetLatency, SpareCapacity: ch.SpareCapacity,
+		})
+		return !refuse
+	})
+	return pi, found, sent, after
+}
+
+// abortNoServer ends a request for which no server is usable, or whose servers all name limits.
+func (ru *run) abortNoServer() {
+	if after := ru.rl.permitRetryAfter(time.Now(), ru.rq.Service); after > 0 {
+		ru.rl.Counts.NoPermit.Add(1)
+		ru.abort(fasthttp.StatusServiceUnavailable, "the limits of all servers are reached", after)
+		return
+	}
+	ru.rl.Counts.NoServer.Add(1)
+	ru.abort(fasthttp.StatusServiceUnavailable, "no server is usable", noServerRetryAfter)
+}
+
 // abort ends a request that can't be dispatched.
 func (ru *run) abort(status int, reason string, after time.Duration) {
 	if ru.deliverFailure() {
@@ -253,8 +278,9 @@
 	if !ru.machine.CanDispatch() || runs >= ru.rq.Route.MaxAttempts || (ru.sink.Started() && ru.rq.Route.RetryPolicy != routes.Resumable) {
 		return false
 	}
-	// The budget bounds what arrives at the servers, and nothing arrived at one that leaves.
-	if !fault.Is(err, KindLeaving) && !ru.rl.spendRetry(ru.rq.Service) {
+	// The budget bounds what arrives at the servers, and nothing arrived at one that leaves or
+	// that is limited.
+	if !fault.Is(err, KindLeaving) && !fault.Is(err, KindLimited) && !ru.rl.spendRetry(ru.rq.Service) {
 		return false
 	}
 	ru.rl.Counts.Retries.Add(1)
@@ -275,7 +301,7 @@
 		res = ru.result
 	case fault.Is(err, KindRefused):
 		res, evidence = place.Refused, answer.Refused
-	case fault.Is(err, KindLeaving):
+	case fault.Is(err, KindLeaving), fault.Is(err, KindLimited):
 		res, evidence = place.Canceled, answer.NotSent
 	case fault.Is(err, KindNotSent):
 		evidence = answer.NotSent
@@ -311,6 +337,7 @@
 	rp, err := ru.ex.Send(ctx, &Attempt{
 		Server: pi.Server, Deadline: ru.rq.Deadline, Priority: ru.rq.Priority, LastEvent: ru.lastEvent,
 		Leaving: func() bool { return ru.rl.isLeaving(&pi.Server) },
+		Limited: func() bool { return !pi.limited && ru.rl.isLimited(&pi.Server) },
 	})
 	if err != nil {
 		return ru.why(callerCtx, ctx, err)
@@ -355,4 +382,6 @@
 }
 
 // isNotSent reports whether no byte of an attempt can have reached its server.
-func isNotSent(err error) bool { return fault.Is(err, KindNotSent) || fault.Is(err, KindLeaving) }
+func isNotSent(err error) bool {
+	return fault.Is(err, KindNotSent) || fault.Is(err, KindLeaving) || fault.Is(err, KindLimited)
+}
--- a/internal/node/entry/config_test.go
+++ b/internal/node/entry/config_test.go
@@ -134,7 +134,7 @@
 		nodes[num].applyConfig(encodedConfig(1, 50), "store")
 	}
 	for num, no := range nodes {
-		wg.Go(func() { _ = pulse.Serve(ctx, links[num], no.handleExchange, &no.exchanges.traffic) })
+		wg.Go(func() { _ = pulse.Serve(ctx, links[num], no, &no.exchanges.traffic) })
 		wg.Go(func() { no.exchangeLoop(ctx) })
 	}
 	return nodes
@@ -189,7 +189,7 @@
 		for second := range 5 {
 			sent := 0
 			for num := range 20 {
-				re := no.handleExchange(&pulse.Request{
+				re := no.Exchange(&pulse.Request{
 					Report: pulse.Report{Peer: pulse.Peer{Node: units.VMID(fmt.Sprint(num)), Address: "a:1"}}, WantConfig: pulse.ConfigDeflate,
 				})
 				sent += len(re.PackedConfig)
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -25,6 +25,7 @@
 	"lycheepick/internal/rule/clock"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/lease"
+	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/pool"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/rule/usage"
@@ -42,6 +43,9 @@
 	KindListen Kind = "listen"
 	// KindConfig marks a configuration of a peer that can't be unpacked.
 	KindConfig Kind = "config"
+	// KindIssuer marks a node that gave no permits, since it can't be reached or takes another
+	// node for their issuer.
+	KindIssuer Kind = "issuer"
 )
 
 // Error is the error type of this package.
@@ -107,6 +111,7 @@
 	maxPeerOffset units.Offset
 	behindSince   time.Time
 	peers         map[units.VMID]*peer
+	members       *permit.Members
 	// configFetches is the number of exchanges in progress that ask for the configuration.
 	configFetches int
 	usageBook     *usage.Counter
@@ -116,6 +121,7 @@
 
 	storeHealth storeHealth
 	exchanges   exchangeStats
+	peerClient  *pulse.Client
 	// configLimiter bounds the bytes of configurations sent to peers.
 	configLimiter *rate.Limiter
 	leader        leaderState
@@ -131,11 +137,14 @@
 		usageBook: usage.NewCounter(set.Timing.UsageWindow()), clock: clock.New(),
 		offered: map[units.TargetID]pulse.Demand{}, peerWork: map[units.VMID]*peerWork{},
 	}
+	no.members = permit.NewMembers(set.VM.ID)
+	no.peerClient = pulse.NewClient(&no.exchanges.traffic)
 	no.configLimiter = newConfigLimiter()
 	no.storeHealth.reads = map[int]context.CancelFunc{}
 	no.relay = relay.New(log, set.VM.Zone, no, pool.Tolerance{
 		Window: set.Limits.Window(), Share: set.Limits.QuotaShare, Fixed: set.Limits.QuotaFixed,
 	})
+	no.relay.AskPermits = no.askPermits
 	no.relay.ObserveFirstByte = func(du time.Duration) { no.firstByte.Update(du.Microseconds()) }
 	handler := pf.Handler(func() *routes.Config {
 		if fo := no.config.Load(); fo != nil {
@@ -199,7 +208,7 @@
 	wg.Go(func() { no.logListenerError("callers", no.door.Serve(work, callers)) })
 	wg.Go(func() { no.logListenerError("ready", no.readyServer().Serve(work, ready)) })
 	wg.Go(func() {
-		no.logListenerError("peers", pulse.Serve(work, peers, no.handleExchange, &no.exchanges.traffic))
+		no.logListenerError("peers", pulse.Serve(work, peers, no, &no.exchanges.traffic))
 	})
 	if no.settings.Listen.Metrics != "" {
 		wg.Go(func() { no.serveMetrics(work) })
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -82,7 +82,7 @@
 
 // exchangeLoop registers the node and exchanges reports with its peers until ctx ends.
 func (no *Node) exchangeLoop(ctx context.Context) {
-	client := pulse.NewClient(&no.exchanges.traffic)
+	client := no.peerClient
 	defer client.Close()
 	var wg conc.WaitGroup
 	defer wg.Wait()
@@ -151,6 +151,7 @@
 		have = &peer{address: pe.Address, lastSeen: time.Now()}
 		no.peers[pe.Node] = have
 		no.relay.ExpectPeer(have.lastSeen, pe.Node)
+		no.members.Add(have.lastSeen, pe.Node)
 	}
 	return have
 }
@@ -168,6 +169,7 @@
 		switch {
 		case silence > forgetTimeout:
 			delete(no.peers, id)
+			no.members.Forget(id)
 			continue
 		case silence > limit && !pe.lost:
 			pe.lost = true
@@ -182,7 +184,7 @@
 	}
 	no.watch.SetPeers(alive)
 	var out []string
-	for _, id := range no.watch.SelectPeers(number, no.leader.reportedBy, due) {
+	for _, id := range append(no.watch.SelectPeers(number, no.leader.reportedBy, due), no.members.Suspects()...) {
 		out = append(out, no.peers[id].address)
 	}
 	return out
@@ -211,6 +213,7 @@
 	if err != nil {
 		no.mu.Lock()
 		no.watch.ReaderFailed(id)
+		no.members.CallFailed(time.Now(), id)
 		no.mu.Unlock()
 		no.exchanges.failed.Add(1)
 		no.exchanges.lastError.Store(&err)
@@ -300,6 +303,7 @@
 		Peer:        pulse.Peer{Node: no.settings.VM.ID, Address: no.settings.Listen.Peers},
 		Incarnation: no.incarnation, Wall: now.UnixNano(), HoldsLease: no.isLeader.Load(), StoreTransitions: no.storeHealth.transitionCount(),
 		Loads: rep.Loads, SentPrefixes: rep.SentPrefixes, Admitted: rep.Admitted, PeerAdmitted: rep.PeerTotals,
+		ServerLimits: rep.ServerLimits, IssuesPermits: true,
 	}
 	if fo := no.config.Load(); fo != nil {
 		out.Config = fo.Version
@@ -327,7 +331,7 @@
 // applyReport updates the state of a peer from its report.
 func (no *Node) applyReport(re *pulse.Report) {
 	now := time.Now()
-	no.relay.ApplyPeerReport(now, re.Node, re.Incarnation, relay.LoadReport{Loads: re.Loads, SentPrefixes: re.SentPrefixes, Admitted: re.Admitted, PeerTotals: re.PeerAdmitted})
+	no.relay.ApplyPeerReport(now, re.Node, re.Incarnation, relay.LoadReport{Loads: re.Loads, SentPrefixes: re.SentPrefixes, Admitted: re.Admitted, PeerTotals: re.PeerAdmitted, ServerLimits: re.ServerLimits})
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	pe := no.addPeer(re.Peer)
@@ -339,6 +343,7 @@
 		no.log.Info("peer_back", zap.String("peer", string(re.Node)))
 	}
 	pe.lastSeen, pe.address = now, re.Address
+	no.members.Heard(now, re.Node, re.IssuesPermits)
 	if pe.incarnation != re.Incarnation {
 		pe.knownSince = now
 	}
@@ -359,9 +364,9 @@
 	}
 }
 
-// handleExchange applies a peer's report and returns this node's, with the configuration and
-// the server records that the peer lacks.
-func (no *Node) handleExchange(rq *pulse.Request) *pulse.Reply {
+// Exchange implements pulse.Handler. It applies a peer's report and returns this node's, with the
+// configuration and the server records that the peer lacks.
+func (no *Node) Exchange(rq *pulse.Request) *pulse.Reply {
 	no.applyReport(&rq.Report)
 	out := &pulse.Reply{Report: no.report()}
 	if fo := no.config.Load(); fo.version() > rq.Config {
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -19,6 +19,7 @@
 
 	"lycheepick/internal/plat/stream"
 	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/pool"
 	"lycheepick/internal/rule/units"
@@ -81,6 +82,10 @@
 	UsageWindows usage.Windows `json:"began,omitempty"`
 	// Offered is the demand by callers since the node's start.
 	Offered map[units.TargetID]Demand `json:"offered,omitempty"`
+	// ServerLimits are limits that servers have named, and IssuesPermits is set by nodes that
+	// issue permits for them.
+	ServerLimits  []permit.Observation `json:"server_limits,omitempty"`
+	IssuesPermits bool                 `json:"issues_permits,omitempty"`
 	// Peers is a subset of the nodes with which this node exchanges state.
 	Peers []Peer `json:"peers,omitempty"`
 }
@@ -129,8 +134,18 @@
 	Snapshot bool `json:"listing,omitempty"`
 }
 
+// PermitReply answers a permit.Request. If another node issues the server's permits, Issuer is
+// that node and there is no grant.
+type PermitReply struct {
+	permit.Grant
+	Issuer Peer `json:"issuer"`
+}
+
 const (
 	exchangeMethod = "/pulse/exchange"
+	permitsMethod  = "/pulse/permits"
+	// permitsTimeout bounds a request for permits, since a caller's request waits for it.
+	permitsTimeout = 150 * time.Millisecond
 	// dialTimeout and callTimeout bound an exchange; round trips to peers take milliseconds.
 	dialTimeout = 500 * time.Millisecond
 	callTimeout = time.Second
@@ -186,6 +201,18 @@
 	return &out, nil
 }
 
+// AskPermits asks the peer at addr for permits.
+func (cl *Client) AskPermits(ctx context.Context, addr string, rq *permit.Request) (*PermitReply, error) {
+	const op = "pulse.AskPermits"
+	ctx, cancel := context.WithTimeout(ctx, permitsTimeout)
+	defer cancel()
+	var out PermitReply
+	if err := cl.pool.Get(ctx, addr, dial).Invoke(ctx, permitsMethod, cl.encoding, rq, &out); err != nil {
+		return nil, fault.Wrap(op, KindFailed, err)
+	}
+	return &out, nil
+}
+
 func dial(ctx context.Context, addr string) (drpcpool.Conn, error) {
 	dl := net.Dialer{Timeout: dialTimeout}
 	raw, err := dl.DialContext(ctx, "tcp", addr)
@@ -198,8 +225,13 @@
 // Close closes the idle connections.
 func (cl *Client) Close() { _ = cl.pool.Close() }
 
-// Handler handles one exchange that a peer started. Calls may be concurrent.
-type Handler func(rq *Request) *Reply
+// Handler handles the calls of peers, which may be concurrent.
+type Handler interface {
+	// Exchange handles one exchange that a peer started.
+	Exchange(rq *Request) *Reply
+	// Permits answers a peer's request for permits.
+	Permits(rq *permit.Request) *PermitReply
+}
 
 // handler adapts a Handler to drpc.
 type handler struct {
@@ -210,14 +242,22 @@
 // HandleRPC implements drpc.Handler.
 func (ha handler) HandleRPC(st drpc.Stream, rpc string) error {
 	const op = "pulse.HandleRPC"
-	if rpc != exchangeMethod {
-		return fault.New(op, KindFailed, "unknown method %.40q", rpc)
+	switch rpc {
+	case exchangeMethod:
+		return fault.Wrap(op, KindFailed, answer(st, ha.encoding, ha.handle.Exchange))
+	case permitsMethod:
+		return fault.Wrap(op, KindFailed, answer(st, ha.encoding, ha.handle.Permits))
 	}
-	var rq Request
-	if err := st.MsgRecv(&rq, ha.encoding); err != nil {
-		return fault.Wrap(op, KindFailed, err)
+	return fault.New(op, KindFailed, "unknown method %.40q", rpc)
+}
+
+// answer reads the message of a call and sends the reply of handle.
+func answer[Rq, Re any](st drpc.Stream, en drpc.Encoding, handle func(*Rq) *Re) error {
+	var rq Rq
+	if err := st.MsgRecv(&rq, en); err != nil {
+		return err
 	}
-	return fault.Wrap(op, KindFailed, st.MsgSend(ha.handle(&rq), ha.encoding))
+	return st.MsgSend(handle(&rq), en)
 }
 
 // Serve accepts connections of peers on ls until ctx ends, then closes ls, waits until
--- a/internal/rule/place/place.go
+++ b/internal/rule/place/place.go
@@ -16,6 +16,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/retry"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/state/server"
@@ -39,6 +40,9 @@
 	Zone   units.ZoneID
 	// Avoid lists servers at which this request has already failed.
 	Avoid []units.VMID
+	// Gate tells whether a server takes the request under the limit that it names. Nil lets it
+	// go to any.
+	Gate func(*server.Server) permit.Gate
 }
 
 // Load is the work that one node has at a server.
@@ -58,6 +62,9 @@
 	Uncached units.Tokens
 	// SpareCapacity is set if under half of the slots of all servers are in use.
 	SpareCapacity bool
+	// Held is the server that would have been chosen with a permit that can be asked for, nil if
+	// there is none.
+	Held *server.Server
 }
 
 const (
@@ -151,37 +158,60 @@
 }
 
 // Choose picks the server with the lowest cost: the predicted time to the first token plus
-// penalties. ok is false if none is usable, or all usable ones are to be avoided.
+// penalties. ok is false if none is usable, or all usable ones are to be avoided or need a
+// permit.
 func (fl *Fleet) Choose(now time.Time, rq *Request) (ch Choice, ok bool) {
 	preferred := fl.preferred(now, rq)
-	var best *serverState
-	var bestScore time.Duration
+	// best is the best server that takes the request now, first the best one of all.
+	var best, first *serverState
+	var bestScore, firstScore time.Duration
 	inUse, slots := 0, 0
 	for _, st := range fl.servers {
 		if !fl.usable(now, st) {
 			continue
 		}
+		gate := rq.gate(st)
+		if gate == permit.Closed {
+			continue
+		}
 		lo := fl.totalLoad(now, st)
-		inUse += lo.Running
-		slots += max(st.Slots, 1)
+		if gate == permit.Open {
+			inUse += lo.Running
+			slots += max(st.Slots, 1)
+		}
 		if rq.avoids(st.ID) {
 			continue
 		}
-		first, uncached := fl.predict(now, st, lo, rq)
-		score := first + fl.prefillTime(uncached, cacheMissWeight) + time.Duration(st.errorRate*float64(errorPenalty))
+		latency, uncached := fl.predict(now, st, lo, rq)
+		score := latency + fl.prefillTime(uncached, cacheMissWeight) + time.Duration(st.errorRate*float64(errorPenalty))
 		if st.Zone != rq.Zone {
 			score += otherZonePenalty
 		}
 		score += preferred.penalty(st)
-		if best == nil || score < bestScore {
+		if first == nil || score < firstScore {
+			first, firstScore = st, score
+		}
+		if gate == permit.Open && (best == nil || score < bestScore) {
 			best, bestScore = st, score
-			ch = Choice{Server: st.Server, FirstToken: first, Uncached: uncached}
+			ch = Choice{Server: st.Server, FirstToken: latency, Uncached: uncached}
 		}
 	}
+	if first != best {
+		sv := first.Server
+		ch.Held = &sv
+	}
 	ch.SpareCapacity = inUse*2 < slots
 	return ch, best != nil
 }
 
+// gate returns whether the server takes the request under the limit that it names.
+func (rq *Request) gate(st *serverState) permit.Gate {
+	if rq.Gate == nil {
+		return permit.Open
+	}
+	return rq.Gate(&st.Server)
+}
+
 // predict estimates the time to the first token at a server, and the number of prompt tokens
 // that it has to compute.
 func (fl *Fleet) predict(now time.Time, st *serverState, lo Load, rq *Request) (first time.Duration, uncached units.Tokens) {
