--- a/internal/edge/relay/permits.go
+++ b/internal/edge/relay/permits.go
@@ -39,6 +39,23 @@
 		zap.Float64("rate", float64(li.Rate)), zap.String("source", source))
 }
 
+// ServerLimits returns the limits of a service's servers that name one.
+func (rl *Relay) ServerLimits(id units.TargetID) []units.RequestsPerSecond {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	se := rl.fleets[id]
+	if se == nil {
+		return nil
+	}
+	var out []units.RequestsPerSecond
+	for _, sv := range se.fleet.List() {
+		if li := rl.permits.Limit(permitServer(sv)); li.Named && !sv.Draining {
+			out = append(out, li.Rate)
+		}
+	}
+	return out
+}
+
 // isLimited reports whether a server names a limit.
 func (rl *Relay) isLimited(sv *server.Server) bool {
 	rl.mu.Lock()
@@ -105,8 +122,8 @@
 	se := rl.service(id)
 	rate := units.RequestsPerSecond(0)
 	limited := false
-	for _, sv := range se.fleet.Servers(now) {
-		if li := rl.permits.Limit(permitServer(&sv.Server)); li.Named && sv.Usable {
+	for _, sv := range se.fleet.List() {
+		if li := rl.permits.Limit(permitServer(sv)); li.Named && !sv.Draining {
 			limited, rate = true, rate+li.Rate
 		}
 	}
--- a/internal/node/entry/order.go
+++ b/internal/node/entry/order.go
@@ -79,7 +79,8 @@
 		if se := &fo.Services[idx]; se.Scaling != nil {
 			od := &no.leader.orders
 			od.demandRates[se.ID] = no.demandOf(se.ID)
-			od.need[se.ID] = no.settings.Orders.Need(od.demandRates[se.ID], no.priorDemand(fo.Config), od.need[se.ID])
+			held := od.demand[se.ID].Held(no.relay.ServerLimits(se.ID), no.settings.Orders.ServerRate)
+			od.need[se.ID] = no.settings.Orders.Need(od.demandRates[se.ID], no.priorDemand(fo.Config), held, od.need[se.ID])
 		}
 	}
 }
--- a/internal/rule/place/fleet.go
+++ b/internal/rule/place/fleet.go
@@ -191,6 +191,15 @@
 	return count
 }
 
+// List returns the servers as they were set, without their load.
+func (fl *Fleet) List() []*server.Server {
+	out := make([]*server.Server, 0, len(fl.servers))
+	for _, st := range fl.servers {
+		out = append(out, &st.Server)
+	}
+	return out
+}
+
 // PrefillRate returns the smoothed rate at which one server computes prompts.
 func (fl *Fleet) PrefillRate() units.TokensPerSecond { return fl.prefillRate }
 
--- a/internal/rule/scale/demand.go
+++ b/internal/rule/scale/demand.go
@@ -28,10 +28,12 @@
 // Demand estimates the prompt tokens per second offered to one service, from totals that nodes
 // report. It is not safe for concurrent use.
 type Demand struct {
-	totals     map[string]Totals
-	sinceLast  Totals
-	rate       float64
-	lateRatio  float64
+	totals    map[string]Totals
+	sinceLast Totals
+	rate      float64
+	lateRatio float64
+	// all adds up what has been reported.
+	all        Totals
 	measuredAt time.Time
 }
 
@@ -49,13 +51,33 @@
 func (de *Demand) Report(source string, total Totals) {
 	before, known := de.totals[source]
 	if known && total.Requests >= before.Requests {
-		de.sinceLast.Prompt += total.Prompt - before.Prompt
-		de.sinceLast.Requests += total.Requests - before.Requests
-		de.sinceLast.Late += total.Late - before.Late
+		de.sinceLast.add(total, before)
+		de.all.add(total, before)
 	}
 	de.totals[source] = total
 }
 
+// add adds the difference between two totals of a source.
+func (to *Totals) add(now, before Totals) {
+	to.Prompt += now.Prompt - before.Prompt
+	to.Requests += now.Requests - before.Requests
+	to.Late += now.Late - before.Late
+}
+
+// Held returns the servers' worth of capacity that limits hold back, given the limit of each
+// server that names one and the demand that a server carries without.
+func (de *Demand) Held(limits []units.RequestsPerSecond, serverRate units.TokensPerSecond) float64 {
+	if de.all.Requests == 0 || serverRate <= 0 {
+		return 0
+	}
+	prompt := float64(de.all.Prompt) / float64(de.all.Requests)
+	held := 0.0
+	for _, li := range limits {
+		held += max(0, 1-float64(li)*prompt/float64(serverRate))
+	}
+	return held
+}
+
 // SetInitial sets the demand that an earlier lease holder estimated, unless this one already
 // has an estimate.
 func (de *Demand) SetInitial(rate units.TokensPerSecond) {
--- a/internal/rule/scale/scale.go
+++ b/internal/rule/scale/scale.go
@@ -60,10 +60,12 @@
 
 // Need returns the servers that a service needs for a demand, given what it needed before.
 // prior is the demand assumed until enough has been observed, from PriorShare: all of it counts
-// for the total, since spot servers are cheap, and half of it for on-demand servers.
-func (po Policy) Need(demand, prior units.TokensPerSecond, before Need) Need {
+// for the total, since spot servers are cheap, and half of it for on-demand servers. held is the
+// number of servers whose capacity is held back by limits; others replace them in the total.
+func (po Policy) Need(demand, prior units.TokensPerSecond, held float64, before Need) Need {
 	onDemand := max(po.MinOnDemand, serversFor(before.OnDemand, max(demand, prior/2), po.OnDemandRate))
-	total := max(onDemand+po.MinSpot, serversFor(before.Total, max(demand, prior), po.ServerRate))
+	carried := max(demand, prior) + units.TokensPerSecond(held)*po.ServerRate
+	total := max(onDemand+po.MinSpot, serversFor(before.Total, carried, po.ServerRate))
 	return Need{OnDemand: onDemand, Total: total}
 }
 
--- a/internal/rule/scale/scale_test.go
+++ b/internal/rule/scale/scale_test.go
@@ -19,7 +19,7 @@
 )
 
 func ExamplePlan() {
-	for _, or := range scale.Plan(policy, scaling, policy.Need(200_000, 0, scale.Need{}), nil) {
+	for _, or := range scale.Plan(policy, scaling, policy.Need(200_000, 0, 0, scale.Need{}), nil) {
 		fmt.Printf("%s spot=%t %d\n", or.Zone, or.Spot, or.Count)
 	}
 	// Output:
@@ -46,7 +46,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			onDemand, spot, total := 0, 0, map[units.ZoneID]int{}
-			for _, or := range scale.Plan(policy, scaling, policy.Need(tt.demand, 0, scale.Need{}), tt.noSpot) {
+			for _, or := range scale.Plan(policy, scaling, policy.Need(tt.demand, 0, 0, scale.Need{}), tt.noSpot) {
 				total[or.Zone] += or.Count
 				if or.Spot {
 					spot += or.Count
@@ -115,17 +115,17 @@
 	for step := range 40 {
 		before := need
 		demand := units.TokensPerSecond(235_000 + 20_000*(step%2))
-		if need = policy.Need(demand, 0, need); step > 1 && need != before {
+		if need = policy.Need(demand, 0, 0, need); step > 1 && need != before {
 			changes++
 		}
 	}
 	if changes > 0 {
 		t.Errorf("changes of the need: have %d, want 0", changes)
 	}
-	if need = policy.Need(100_000, 0, need); need.OnDemand != 3 || need.Total != 6 {
+	if need = policy.Need(100_000, 0, 0, need); need.OnDemand != 3 || need.Total != 6 {
 		t.Errorf("after a fall: have %+v, want 3 and 6", need)
 	}
-	if need = policy.Need(0, 300_000, scale.Need{}); need.OnDemand != 3 || need.Total != 10 {
+	if need = policy.Need(0, 300_000, 0, scale.Need{}); need.OnDemand != 3 || need.Total != 10 {
 		t.Errorf("before traffic: have %+v, want 3 and 10", need)
 	}
 }
@@ -151,3 +151,31 @@
 		t.Errorf("demand: have %.0f with no late answers, %.0f with a tenth of them, %.0f with half", none, few, many)
 	}
 }
+
+// TestHeldBackServersAreReplaced checks that servers are ordered for those that name limits: the
+// others would otherwise be overloaded by what those turn away.
+func TestHeldBackServersAreReplaced(t *testing.T) {
+	de, now := scale.NewDemand(), time.Unix(1_000_000, 0)
+	de.Report("node-1/1", scale.Totals{})
+	de.Report("node-1/1", scale.Totals{Prompt: 1_000_000, Requests: 500}) // 2,000 tokens each.
+	de.Rate(now)
+	rate := policy.ServerRate
+	for _, tt := range []struct {
+		name   string
+		limits []units.RequestsPerSecond
+		want   float64
+	}{
+		{"no limits", nil, 0},
+		{"two servers that take nothing", []units.RequestsPerSecond{0, 0}, 2},
+		{"half of what a server carries", []units.RequestsPerSecond{units.RequestsPerSecond(rate / 2 / 2000)}, 0.5},
+		{"more than a server carries", []units.RequestsPerSecond{units.RequestsPerSecond(rate)}, 0},
+	} {
+		if have := de.Held(tt.limits, rate); have < tt.want-0.01 || have > tt.want+0.01 {
+			t.Errorf("%s: held back: have %.2f servers, want %.2f", tt.name, have, tt.want)
+		}
+	}
+	without, with := policy.Need(200_000, 0, 0, scale.Need{}), policy.Need(200_000, 0, 2, scale.Need{})
+	if with.Total != without.Total+2 || with.OnDemand != without.OnDemand {
+		t.Errorf("have %+v with two servers held back, %+v without", with, without)
+	}
+}
