--- a/internal/rule/permit/permit_test.go
+++ b/internal/rule/permit/permit_test.go
@@ -107,6 +107,9 @@
 		t.Error("a permit can be used after it expired")
 	}
 	bo.Use(epoch, limited)
+	if bo.Gate(epoch, limited) != permit.Ask {
+		t.Error("two permits can be used three times")
+	}
 	bo.Receive(epoch, permit.Grant{Observation: permit.Observation{Server: limited, Limit: named(2), Age: time.Second}, After: time.Second})
 	if bo.Gate(epoch.Add(900*time.Millisecond), limited) != permit.Closed || bo.Gate(epoch.Add(time.Second), limited) != permit.Ask {
 		t.Error("the delay until permits can be asked for again is not kept")
