relay: log the software versions of servers and what a stream resumes

Lines about a request named its server but not the software version there, so that a stream that this node took up again at another version could not be told from one that its caller brought from another node.

--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -74,6 +74,8 @@
 	// LastEvent is the ID of the last event that the caller received of the stream to
 	// resume, empty for a new stream.
 	LastEvent string
+	// Resumes is the request that brought the first event of the stream to resume.
+	Resumes units.RequestID
 }
 
 // Attempt is one dispatch to a backend server.
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -225,7 +225,8 @@
 	ru.rl.Log.Info(event, zap.String("request", string(rq.ID)), zap.String("route", rq.Route.Name),
 		zap.Uint64("config", uint64(rq.Config)), zap.String("reason", reason), zap.Int("status", status),
 		zap.Int("sends", ru.sends), zap.Int("events", ru.events), zap.Duration("took", time.Since(rq.Arrived)),
-		zap.String("server", string(pi.Server.ID)), zap.Duration("predicted", pi.FirstToken),
+		zap.String("server", string(pi.Server.ID)), zap.String("version", string(pi.Server.Version)),
+		zap.String("resumes", string(rq.Resumes)), zap.Duration("predicted", pi.FirstToken),
 		zap.Int64("fresh_tokens", int64(pi.Uncached)), zap.Duration("list_age", pi.listAge),
 		zap.Duration("servers_age", pi.serversAge), zap.Duration("unsent", ru.unsent))
 }
@@ -288,7 +289,8 @@
 		ru.rl.Counts.Resumes.Add(1)
 	}
 	ru.rl.Log.Info("request_repeated", zap.String("request", string(ru.rq.ID)), zap.Int("send", ru.sends+1),
-		zap.String("server", string(ru.last.Server.ID)), zap.String("last_event", ru.lastEvent), zap.String("reason", err.Error()))
+		zap.String("server", string(ru.last.Server.ID)), zap.String("version", string(ru.last.Server.Version)),
+		zap.String("last_event", ru.lastEvent), zap.String("reason", err.Error()))
 	return true
 }
 
--- a/internal/rule/units/units.go
+++ b/internal/rule/units/units.go
@@ -24,6 +24,8 @@
 	NodeID string
 	// RequestID identifies one accepted request.
 	RequestID string
+	// SoftwareVersion is the version of the software of a backend server, "" if it names none.
+	SoftwareVersion string
 	// AttemptID numbers the dispatches of one request, from 1.
 	AttemptID uint32
 	// PrefixKey is the hash of the leading blocks of a prompt.
--- a/internal/state/server/server.go
+++ b/internal/state/server/server.go
@@ -16,6 +16,8 @@
 	Service units.TargetID
 	Zone    units.ZoneID
 	Address string
+	// Version is the version of the server's software.
+	Version units.SoftwareVersion
 	// StartUnixMS is the start time of the server in Unix milliseconds, 0 if unknown. It
 	// identifies the incarnation of an id.
 	StartUnixMS int64
