--- a/internal/bench/crowd/crowd.go
+++ b/internal/bench/crowd/crowd.go
@@ -37,6 +37,8 @@
 	// BusyNodes is the number of nodes that get nine in ten of the requests, 0 if all nodes get
 	// equal parts.
 	BusyNodes int
+	// Streams makes the streams of requests break off.
+	Streams Streams
 }
 
 // Reclaim gives notice to servers at At and ends them Notice later. Replacements start to
@@ -107,6 +109,8 @@
 	LimitRatio float64
 	// ServerLimits summarises how the limits that servers name were kept.
 	ServerLimits LimitResult
+	// Streams summarises the streams that callers took up again.
+	Streams StreamResult
 	// Seconds holds the counts by the second of arrival.
 	Seconds []Counts
 }
@@ -162,9 +166,11 @@
 	nodes      []*node
 	byID       map[units.VMID]*node
 	lastUnique place.BlockID
-	seen       map[place.BlockID]bool
-	admissions []admission
-	result     Result
+	// lastRequest numbers the attempts of callers.
+	lastRequest uint64
+	seen        map[place.BlockID]bool
+	admissions  []admission
+	result      Result
 }
 
 // admission is one request of the first customer that was admitted.
@@ -253,6 +259,7 @@
 	rate *= (hot + customers - 1) / customers
 	ru.scheduleAfter(time.Duration(ru.arrivals.ExpFloat64()/rate*float64(time.Second)), ru.arrive)
 	rq := ru.newRequest(hot)
+	rq.setID()
 	co := rq.bucket()
 	co.Requests++
 	ru.result.Requests++
@@ -354,7 +361,7 @@
 	for _, en := range ru.engines {
 		if !en.dead {
 			list = append(list, server.Server{ID: en.id, Status: server.Status{
-				Zone: "a", Slots: slots, StartUnixMS: en.incarnation, Draining: en.leaving, Spot: en.spot,
+				Zone: "a", Version: ru.softwareVersion(en), Slots: slots, StartUnixMS: en.incarnation, Draining: en.leaving, Spot: en.spot,
 			}})
 		}
 	}
@@ -373,7 +380,7 @@
 		for _, en := range reclaimed {
 			en.dead = true
 			en.endPeriod(ru.now)
-			for rq := range en.running {
+			for _, rq := range en.inOrder() {
 				rq.serverGone()
 			}
 		}
--- a/internal/bench/crowd/engine.go
+++ b/internal/bench/crowd/engine.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"lycheepick/internal/rule/place"
@@ -52,6 +55,13 @@
 	en.cacheUsed = 0
 }
 
+// inOrder returns the running requests in the order of their ids, so that runs are repeatable.
+func (en *engine) inOrder() []*request {
+	out := slices.Collect(maps.Keys(en.running))
+	slices.SortFunc(out, func(one, two *request) int { return strings.Compare(string(one.id), string(two.id)) })
+	return out
+}
+
 func (ru *run) engineOf(id units.VMID) *engine {
 	var num int
 	var inc int64
@@ -127,6 +137,7 @@
 func (rq *request) firstToken() {
 	rq.node.fleet.FirstToken(rq.ru.now, rq.engine.id, rq.ticket)
 	rq.passLimitOn()
+	rq.beginStream()
 	rq.started = true
 	took := rq.ru.now.Sub(rq.at)
 	switch {
--- a/internal/bench/crowd/node.go
+++ b/internal/bench/crowd/node.go
@@ -100,9 +100,13 @@
 		}
 	}
 	for _, en := range no.ru.engines {
-		for rq := range en.running {
-			if rq.node == no {
-				delete(en.running, rq)
+		for _, rq := range en.inOrder() {
+			if rq.node != no {
+				continue
+			}
+			delete(en.running, rq)
+			if rq.stream != nil && no.ru.Load.Streams.CutShare > 0 {
+				rq.resume()
 			}
 		}
 	}
@@ -158,11 +162,18 @@
 	asks int
 	// The attempt in progress, and whether its first token has been sent (started) and the
 	// outcome of the request counted.
-	node    *node
-	engine  *engine
-	ticket  place.Ticket
-	sends   int
-	sentAt  time.Time
+	node   *node
+	engine *engine
+	ticket place.Ticket
+	sends  int
+	sentAt time.Time
+	// id is that of the caller's attempt. stream is nil until there are events, and resumes the
+	// attempt that brought the first one of a stream that is taken up again.
+	id      units.RequestID
+	stream  *stream
+	resumes units.RequestID
+	// counts is set if the attempt is one of those that LOST is about.
+	counts  bool
 	started bool
 	counted bool
 }
@@ -185,6 +196,7 @@
 func (no *node) serve(rq *request) {
 	now := no.ru.now
 	rq.node = no
+	rq.countArrival(no)
 	late := rq.callerTries > 0 && !no.ru.Naive && now.Sub(rq.at) > firstTokenTarget
 	ok, after := no.pool.Take(now, rq.customer, rq.size(), late)
 	if !ok {
@@ -198,6 +210,13 @@
 // refuseAdmitted refuses a request that the customer's limit has been charged for. One that a
 // server had begun is lost.
 func (no *node) refuseAdmitted(rq *request, after time.Duration) {
+	if rq.started && rq.ru.Load.Streams.CutShare > 0 {
+		rq.resume()
+		return
+	}
+	if rq.counted { // A stream that its caller takes up again has been counted.
+		return
+	}
 	if rq.sends > 0 {
 		rq.record(func(co *Counts) *int { return &co.Lost })
 		return
@@ -359,6 +378,10 @@
 // request is retried at another server within the retry budget.
 func (rq *request) serverGone() {
 	rq.attemptEnded(place.Incomplete)
+	if rq.started && rq.ru.Load.Streams.CutShare > 0 {
+		rq.goOn()
+		return
+	}
 	if rq.started || rq.sends >= maxSends || !rq.node.budget.Spend() {
 		if !rq.started {
 			rq.record(func(co *Counts) *int { return &co.Lost })
@@ -368,3 +391,14 @@
 	rq.ask.Avoid = append(rq.ask.Avoid, rq.engine.id)
 	rq.node.send(rq)
 }
+
+// goOn takes a stream up again at another server within the same answer, or cuts it off if that
+// can't be, so that its caller has to take it up again.
+func (rq *request) goOn() {
+	if rq.sends >= maxSends || !rq.node.budget.Spend() {
+		rq.resume()
+		return
+	}
+	rq.ask.Avoid = append(rq.ask.Avoid, rq.engine.id)
+	rq.node.send(rq)
+}
--- /dev/null
+++ b/internal/bench/crowd/stream.go
@@ -0,0 +1,157 @@
+package crowd
+
+import (
+	"fmt"
+	"time"
+
+	"lycheepick/internal/rule/place"
+	"lycheepick/internal/rule/units"
+)
+
+// Streams describes streams that break off and are taken up again by their callers.
+type Streams struct {
+	// CutShare is the share of the streams whose connection to the caller breaks.
+	CutShare float64
+	// FewOf makes only this many servers run the second software version; otherwise every
+	// second server does. Replacements of reclaimed servers run the second one.
+	FewOf int
+}
+
+const (
+	firstVersion  units.SoftwareVersion = "v1"
+	secondVersion units.SoftwareVersion = "v1.1"
+	// maxResumeDelay is the longest time after which a caller takes a stream up again.
+	maxResumeDelay = 200 * time.Millisecond
+	// lostStreams and lostRatio are the bounds of the platform's rule LOST: of so many streams that
+	// callers take up again while two servers of their version serve, the share that goes on is
+	// not under this part of the share of new streams that begin.
+	lostStreams = 12
+	lostRatio   = 0.5
+	// orderStreams is the bound of the platform's rule ORDER: no more streams than that hold
+	// events of two versions.
+	orderStreams = 2
+)
+
+// StreamResult summarises the streams that callers took up again.
+type StreamResult struct {
+	// Mixed counts the streams that hold events of two software versions.
+	Mixed int
+	// Resumed counts the attempts to take a stream up at a node in touch while two servers of its
+	// version served, WentOn those of them that did.
+	Resumed, WentOn int
+	// New and Begun are the same for new streams.
+	New, Begun int
+}
+
+// Broken returns the rules that are broken.
+func (sr *StreamResult) Broken() []string {
+	var out []string
+	if sr.Mixed > orderStreams {
+		out = append(out, "ORDER")
+	}
+	if sr.Resumed >= lostStreams && sr.New > 0 {
+		if share := float64(sr.WentOn) / float64(sr.Resumed); share < lostRatio*float64(sr.Begun)/float64(sr.New) {
+			out = append(out, "LOST")
+		}
+	}
+	return out
+}
+
+// stream is a stream over all attempts of its caller.
+type stream struct {
+	// first is the attempt that brought the first event, version that of its server.
+	first   units.RequestID
+	version units.SoftwareVersion
+	mixed   bool
+}
+
+// softwareVersion returns the software version of a server.
+func (ru *run) softwareVersion(en *engine) units.SoftwareVersion {
+	second := en.num%2 == 1
+	if ru.Load.Streams.FewOf > 0 {
+		second = en.num < ru.Load.Streams.FewOf
+	}
+	if second || en.incarnation > 1 {
+		return secondVersion
+	}
+	return firstVersion
+}
+
+// servesVersion reports whether two servers of a software version serve.
+func (ru *run) servesVersion(version units.SoftwareVersion) bool {
+	count := 0
+	for _, en := range ru.engines {
+		if !en.dead && !en.leaving && ru.softwareVersion(en) == version {
+			count++
+		}
+	}
+	return count >= 2
+}
+
+// beginStream records that events of the request's server reach the caller.
+func (rq *request) beginStream() {
+	ru := rq.ru
+	version := ru.softwareVersion(rq.engine)
+	switch {
+	case rq.stream == nil:
+		rq.stream = &stream{first: rq.id, version: version}
+		if ru.rnd.Float64() < ru.Load.Streams.CutShare {
+			ru.scheduleAfter(time.Duration(ru.rnd.Float64()*float64(tokenTime*outputTokens)), rq.cut)
+		}
+	case rq.stream.version != version && !rq.stream.mixed:
+		rq.stream.mixed = true
+		ru.result.Streams.Mixed++
+	}
+	if rq.counts {
+		*rq.streamCount(&ru.result.Streams.WentOn, &ru.result.Streams.Begun)++
+		rq.counts = false
+	}
+}
+
+// streamCount returns the count for a stream that is taken up again or for a new one.
+func (rq *request) streamCount(resumed, fresh *int) *int {
+	if rq.resumes != "" {
+		return resumed
+	}
+	return fresh
+}
+
+// cut breaks the caller's connection. The caller takes the stream up again at another node.
+func (rq *request) cut() {
+	if _, ok := rq.engine.running[rq]; !ok {
+		return
+	}
+	rq.attemptEnded(place.Canceled)
+	rq.resume()
+}
+
+// resume sends a new attempt of the caller, which names the one that brought the first event.
+func (rq *request) resume() {
+	ru := rq.ru
+	again := &request{ru: ru, customer: rq.customer, ask: rq.ask, stream: rq.stream, resumes: rq.stream.first, counted: true, callerTries: 1}
+	again.ask.Avoid = nil
+	ru.scheduleAfter(time.Duration(ru.rnd.Float64()*float64(maxResumeDelay)), func() {
+		again.at = ru.now
+		again.setID()
+		no := ru.nodes[ru.rnd.IntN(len(ru.nodes))]
+		if no.down() {
+			no = ru.arrivalNode()
+		}
+		no.serve(again)
+	})
+}
+
+// setID gives the attempt its id.
+func (rq *request) setID() {
+	rq.ru.lastRequest++
+	rq.id = units.RequestID(fmt.Sprintf("%08x", rq.ru.lastRequest*0x9e3779b1%(1<<32)))
+}
+
+// countArrival counts an attempt that reaches a node in touch.
+func (rq *request) countArrival(no *node) {
+	if no.excused(rq.ru.now) || (rq.resumes != "" && !rq.ru.servesVersion(rq.stream.version)) {
+		return
+	}
+	rq.counts = true
+	*rq.streamCount(&rq.ru.result.Streams.Resumed, &rq.ru.result.Streams.New)++
+}
