relay: a stream goes on only at the software version that began it

The node that passes on the first event keeps the stream's service and version under the request's id, and so do the two nodes nearest to the id by rendezvous hashing. The rest of the answer comes from servers of that version. A node at which a caller takes the stream up looks its id (Resumes) up at the six nearest nodes. A stream whose beginning nobody knows goes on only if the service has had one version as far as this node and its peers know, and from a list of servers that isn't old; otherwise it is refused with when to come back. A stream taken up again also goes to the service of its beginning where a route splits.

--- a/internal/bench/crowd/node.go
+++ b/internal/bench/crowd/node.go
@@ -11,6 +11,7 @@
 	"lycheepick/internal/rule/retry"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/rule/watch"
+	"lycheepick/internal/state/origin"
 	"lycheepick/internal/state/server"
 )
 
@@ -43,8 +44,11 @@
 	members     *permit.Members
 	asking      map[permit.Server]bool
 	permitRetry permit.RetryAfter
-	peers       []units.VMID
-	rounds      uint64
+	// origins and versions are the state of streams that may be taken up again.
+	origins  *origin.Book
+	versions *origin.Versions
+	peers    []units.VMID
+	rounds   uint64
 	// servers and inFlight are the state of a naive node.
 	servers  []server.Server
 	inFlight map[units.VMID]int
@@ -68,6 +72,7 @@
 	no.fleet, no.pool, no.watch = place.NewFleet(), pool.New(ru.tolerance()), watch.New(no.id)
 	no.budget, no.inFlight = retry.NewBudget(retryShare, retryReserve), map[units.VMID]int{}
 	no.permits, no.members, no.asking, no.permitRetry = permit.NewBook(), permit.NewMembers(no.id), map[permit.Server]bool{}, permit.RetryAfter{}
+	no.origins, no.versions = origin.NewBook(), origin.NewVersions()
 	no.peers = nil
 	li := ru.limit()
 	if ru.Naive {
@@ -115,6 +120,9 @@
 
 func (no *node) setServers(list []server.Server) {
 	no.servers = list
+	for _, sv := range list {
+		no.versions.See(no.ru.now, sv.Service, sv.Version)
+	}
 	no.fleet.SetServers(no.ru.now, list)
 }
 
@@ -149,6 +157,11 @@
 	no.pool.MergeRelayed(now, other.pool.Relay(now))
 	no.members.Heard(now, other.id, true)
 	no.permits.Merge(now, other.permits.Observations(now))
+	for service, list := range other.versions.Several(now) {
+		for _, version := range list {
+			no.versions.See(now, service, version)
+		}
+	}
 }
 
 // request is one request of a caller.
@@ -204,6 +217,14 @@
 		return
 	}
 	no.budget.RecordFirst()
+	if rq.resumes != "" {
+		no.locate(rq, func(found bool) {
+			if found {
+				no.send(rq)
+			}
+		})
+		return
+	}
 	no.send(rq)
 }
 
--- a/internal/bench/crowd/stream.go
+++ b/internal/bench/crowd/stream.go
@@ -6,6 +6,7 @@
 
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/units"
+	"lycheepick/internal/state/origin"
 )
 
 // Streams describes streams that break off and are taken up again by their callers.
@@ -102,6 +103,7 @@
 		rq.stream.mixed = true
 		ru.result.Streams.Mixed++
 	}
+	rq.keepVersion(version)
 	if rq.counts {
 		*rq.streamCount(&ru.result.Streams.WentOn, &ru.result.Streams.Begun)++
 		rq.counts = false
@@ -129,7 +131,7 @@
 func (rq *request) resume() {
 	ru := rq.ru
 	again := &request{ru: ru, customer: rq.customer, ask: rq.ask, stream: rq.stream, resumes: rq.stream.first, counted: true, callerTries: 1}
-	again.ask.Avoid = nil
+	again.ask.Avoid, again.ask.Version = nil, nil
 	ru.scheduleAfter(time.Duration(ru.rnd.Float64()*float64(maxResumeDelay)), func() {
 		again.at = ru.now
 		again.setID()
@@ -155,3 +157,79 @@
 	rq.counts = true
 	*rq.streamCount(&rq.ru.result.Streams.Resumed, &rq.ru.result.Streams.New)++
 }
+
+// The relay's handling of origins, in the virtual time of the model.
+const (
+	originCopies, originLookups       = 2, 6
+	originBatchTime, originRetryDelay = 10 * time.Millisecond, 40 * time.Millisecond
+)
+
+// keepVersion makes the rest of a stream come from servers of one software version, and hands
+// its origin to the nodes that keep it.
+func (rq *request) keepVersion(version units.SoftwareVersion) {
+	ru, no := rq.ru, rq.node
+	if ru.Load.Streams.CutShare == 0 {
+		return
+	}
+	if rq.ask.Version == nil {
+		rq.ask.Version = &version
+	}
+	re := origin.Record{ID: rq.id, Origin: origin.Origin{Version: *rq.ask.Version}}
+	if rq.resumes != "" {
+		re.ID = rq.resumes
+	}
+	no.origins.Add(ru.now, re)
+	incarnation := no.incarnation
+	ru.scheduleAfter(originBatchTime, func() {
+		if no.incarnation != incarnation || no.down() {
+			return
+		}
+		for _, id := range no.members.Nearest(ru.now, string(re.ID), originCopies) {
+			if to := ru.byID[id]; !no.isolated() && !to.isolated() {
+				ru.scheduleAfter(roundTrip/2, func() { to.origins.Add(ru.now, re) })
+			}
+		}
+	})
+}
+
+// locate finds the software version at which a stream began and passes on whether it is known.
+func (no *node) locate(rq *request, done func(found bool)) {
+	no.lookUp(rq, func(found bool) {
+		if found {
+			done(true)
+			return
+		}
+		no.ru.scheduleAfter(originRetryDelay, func() {
+			no.lookUp(rq, func(found bool) {
+				if version, only := no.versions.Only(no.ru.now, ""); only && !found {
+					rq.ask.Version, found = &version, true
+				}
+				done(found)
+			})
+		})
+	})
+}
+
+// lookUp looks a stream's origin up at this node and at those nearest to its id.
+func (no *node) lookUp(rq *request, done func(found bool)) {
+	ru := no.ru
+	if og, ok := no.origins.Find(ru.now, rq.resumes); ok {
+		rq.ask.Version = &og.Version
+		done(true)
+		return
+	}
+	ru.scheduleAfter(roundTrip, func() {
+		for _, id := range no.members.Nearest(ru.now, string(rq.resumes), originLookups) {
+			to := ru.byID[id]
+			if no.isolated() || to.isolated() {
+				continue
+			}
+			if og, ok := to.origins.Find(ru.now, rq.resumes); ok {
+				rq.ask.Version = &og.Version
+				done(true)
+				return
+			}
+		}
+		done(false)
+	})
+}
--- a/internal/edge/relay/answer.go
+++ b/internal/edge/relay/answer.go
@@ -93,6 +93,7 @@
 				}
 				first = false
 				ru.recordStart(pi, time.Now())
+				ru.keepVersion(pi)
 			}
 			if err := ru.forwardEvents(rp, pending[:at+len(eventEnd)]); err != nil {
 				return fault.Wrap(op, KindCallerGone, err)
--- /dev/null
+++ b/internal/edge/relay/origins.go
@@ -0,0 +1,106 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lycheepick/internal/rule/units"
+	"lycheepick/internal/state/origin"
+	"lycheepick/internal/state/routes"
+)
+
+// Origins keeps where streams began, also for the other nodes.
+type Origins interface {
+	// Record keeps the origin of a stream.
+	Record(origin.Record)
+	// Find returns the origin of the stream whose first event a request brought, to this node
+	// or to another one.
+	Find(context.Context, units.RequestID) (origin.Origin, bool)
+}
+
+// localOrigins keeps what this node has seen.
+type localOrigins struct {
+	mu   sync.Mutex
+	book *origin.Book
+}
+
+func newLocalOrigins() *localOrigins { return &localOrigins{book: origin.NewBook()} }
+
+// Record implements Origins.
+func (lo *localOrigins) Record(re origin.Record) {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	lo.book.Add(time.Now(), re)
+}
+
+// Find implements Origins.
+func (lo *localOrigins) Find(_ context.Context, id units.RequestID) (origin.Origin, bool) {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	return lo.book.Find(time.Now(), id)
+}
+
+// locate finds the software version at which a stream began that the caller takes up again, and
+// sets the service. It returns false if the version is not known.
+func (ru *run) locate(ctx context.Context) bool {
+	rq := ru.rq
+	if rq.Resumes != "" {
+		if og, ok := ru.rl.Origins.Find(ctx, rq.Resumes); ok {
+			ru.ask.Version = &og.Version
+			if !sendsTo(rq.Route, og.Service) {
+				return false
+			}
+			rq.Service = og.Service
+			return true
+		}
+	}
+	version, only := ru.rl.onlyVersion(time.Now(), rq)
+	ru.ask.Version = &version
+	return only
+}
+
+// maxVersionAge is the age of the list of servers from which on this node may have missed a new
+// software version.
+const maxVersionAge = 3 * time.Second
+
+// onlyVersion returns the software version of a service if all its servers have had the same one.
+// Callers that don't name the request to resume are of deployments that have one.
+func (rl *Relay) onlyVersion(now time.Time, rq *Request) (units.SoftwareVersion, bool) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	version, only := rl.versions.Only(now, rq.Service)
+	if rq.Resumes != "" && now.Sub(time.Unix(0, rl.syncedAt.Load())) > maxVersionAge {
+		only = false
+	}
+	return version, only
+}
+
+// sendsTo reports whether a route sends requests to a service.
+func sendsTo(ro *routes.Route, service units.TargetID) bool {
+	for _, sp := range ro.TrafficSplit {
+		if sp.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// keepVersion makes the rest of a stream come from servers of the software version that sent its
+// first event, and records it for nodes at which the caller may take the stream up again.
+func (ru *run) keepVersion(pi *picked) {
+	rq := ru.rq
+	if rq.Route.RetryPolicy != routes.Resumable {
+		return
+	}
+	if ru.ask.Version == nil {
+		ru.ask.Version = &pi.Server.Version
+	}
+	id := rq.ID
+	if rq.LastEvent != "" {
+		id = rq.Resumes
+	}
+	if id != "" {
+		ru.rl.Origins.Record(origin.Record{ID: id, Origin: origin.Origin{Service: rq.Service, Version: *ru.ask.Version}})
+	}
+}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -19,6 +19,7 @@
 	"lycheepick/internal/rule/pool"
 	"lycheepick/internal/rule/retry"
 	"lycheepick/internal/rule/units"
+	"lycheepick/internal/state/origin"
 	"lycheepick/internal/state/routes"
 	"lycheepick/internal/state/server"
 )
@@ -147,6 +148,9 @@
 type Counts struct {
 	Received, Done, NotRun, Unknown, Gone atomic.Int64
 	Limited, Overload, NoServer           atomic.Int64
+	// NoOrigin counts streams that were not taken up again since the software version that began
+	// them is not known.
+	NoOrigin atomic.Int64
 	// NoPermit counts requests refused under the limits that servers name, PermitsAsked,
 	// PermitsFailed and PermitsIssued the requests for permits, those without an answer, and the
 	// permits that this node issued.
@@ -167,6 +171,8 @@
 	ObserveFirstByte func(time.Duration)
 	// AskPermits asks the issuer of a server's permits. Without it this node issues them.
 	AskPermits func(context.Context, permit.Request) (permit.Grant, error)
+	// Origins keeps where streams began.
+	Origins Origins
 
 	draining atomic.Pointer[drainCutoffs]
 	// syncedAt is when the list of servers last matched the store, in Unix nanoseconds.
@@ -179,6 +185,8 @@
 	pool   *pool.Pool
 	// permits holds the limits that servers name.
 	permits *permit.Book
+	// versions holds the software versions that servers have had.
+	versions *origin.Versions
 	// asks holds the requests for permits in progress; each channel is closed at the end.
 	asks map[permit.Server]chan struct{}
 	// maxWaits holds, by route name, the longest time between a request's arrival and its
@@ -225,7 +233,7 @@
 // New returns a relay without servers and limits; SetServers and SetLimits add them.
 func New(log *zap.Logger, zone units.ZoneID, me Meter, to pool.Tolerance) *Relay {
 	rl := &Relay{
-		Log: log, Zone: zone, Meter: me, fleets: map[units.TargetID]*service{}, pool: pool.New(to), permits: permit.NewBook(), asks: map[permit.Server]chan struct{}{}, maxWaits: map[string]time.Duration{},
+		Log: log, Zone: zone, Meter: me, fleets: map[units.TargetID]*service{}, pool: pool.New(to), permits: permit.NewBook(), versions: origin.NewVersions(), Origins: newLocalOrigins(), asks: map[permit.Server]chan struct{}{}, maxWaits: map[string]time.Duration{},
 		ObserveFirstByte: func(time.Duration) {},
 	}
 	rl.AskPermits = func(_ context.Context, rq permit.Request) (permit.Grant, error) {
@@ -263,6 +271,9 @@
 		se.fleet.SetServers(now, by[id])
 		se.listReadAt = now
 	}
+	for _, sv := range list {
+		rl.versions.See(now, sv.Service, sv.Version)
+	}
 	rl.permits.Retain(now, func(sv permit.Server) bool {
 		start, ok := open[sv.ID]
 		return ok && start == sv.StartUnixMS
@@ -302,6 +313,8 @@
 	PeerTotals   map[units.CustomerID][]pool.RelayedUsage
 	// ServerLimits are limits that servers have named.
 	ServerLimits []permit.Observation
+	// Versions are the software versions of services whose servers have had several.
+	Versions map[units.TargetID][]units.SoftwareVersion
 }
 
 // ApplyPeerReport merges a peer's report into the local state. inc is the peer's
@@ -314,6 +327,11 @@
 	}
 	rl.pool.MergeReport(now, node, inc, rep.Admitted)
 	rl.pool.MergeRelayed(now, rep.PeerTotals)
+	for service, list := range rep.Versions {
+		for _, version := range list {
+			rl.versions.See(now, service, version)
+		}
+	}
 	changes := rl.permits.Merge(now, rep.ServerLimits)
 	rl.mu.Unlock()
 	for _, ob := range changes {
@@ -339,6 +357,7 @@
 	}
 	rep.Admitted, rep.PeerTotals = rl.pool.Admitted(), rl.pool.Relay(now)
 	rep.ServerLimits = rl.permits.Observations(now)
+	rep.Versions = rl.versions.Several(now)
 	return rep
 }
 
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -87,7 +87,12 @@
 		ask:     place.Request{Blocks: rq.PrefixBlocks, Prompt: rq.PromptTokens, Zone: rl.Zone},
 	}
 	ru.machine.Accept()
-	ru.loop(ctx)
+	if rq.LastEvent == "" || ru.locate(ctx) {
+		ru.loop(ctx)
+	} else {
+		rl.Counts.NoOrigin.Add(1)
+		ru.abort(fasthttp.StatusServiceUnavailable, "the version that began the stream is not known", noServerRetryAfter)
+	}
 	if ru.machine.State() == answer.NotRun {
 		rl.refund(rq)
 	}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -122,6 +122,7 @@
 	storeHealth storeHealth
 	exchanges   exchangeStats
 	peerClient  *pulse.Client
+	origins     *origins
 	// configLimiter bounds the bytes of configurations sent to peers.
 	configLimiter *rate.Limiter
 	leader        leaderState
@@ -144,7 +145,8 @@
 	no.relay = relay.New(log, set.VM.Zone, no, pool.Tolerance{
 		Window: set.Limits.Window(), Share: set.Limits.QuotaShare, Fixed: set.Limits.QuotaFixed,
 	})
-	no.relay.AskPermits = no.askPermits
+	no.origins = newOrigins(no)
+	no.relay.AskPermits, no.relay.Origins = no.askPermits, no.origins
 	no.relay.ObserveFirstByte = func(du time.Duration) { no.firstByte.Update(du.Microseconds()) }
 	handler := pf.Handler(func() *routes.Config {
 		if fo := no.config.Load(); fo != nil {
@@ -216,6 +218,7 @@
 	wg.Go(func() { no.followConfig(work) })
 	wg.Go(func() { no.followServers(work) })
 	wg.Go(func() { no.exchangeLoop(work) })
+	wg.Go(func() { no.origins.run(work) })
 	wg.Go(func() { no.tick(work) })
 	if no.platform.ReportsUsage || no.platform.OrdersServers {
 		wg.Go(func() { no.leaderLoop(work) })
--- /dev/null
+++ b/internal/node/entry/origins.go
@@ -0,0 +1,170 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"lycheepick/internal/edge/pause"
+	"lycheepick/internal/peer/pulse"
+	"lycheepick/internal/rule/units"
+	"lycheepick/internal/state/origin"
+)
+
+const (
+	// originCopies is the number of nodes that keep the origin of a stream, beside the node at
+	// which it began: one of them may end together with that one.
+	originCopies = 2
+	// originLookups is the number of nodes that are asked for an origin. It is higher, since nodes
+	// that know different peers choose different ones.
+	originLookups = 6
+	// originBatchTime is the time for which origins are collected to be sent together, and
+	// originRetryDelay that after which an origin is looked up again, which may be on its way.
+	originBatchTime  = 10 * time.Millisecond
+	originRetryDelay = 40 * time.Millisecond
+	// originQueue bounds the origins that wait to be sent.
+	originQueue = 4096
+)
+
+// origins keeps the origins of streams together with the other nodes: each origin is kept by the
+// node at which the stream began and by the nodes nearest to its id. It implements relay.Origins.
+type origins struct {
+	no    *Node
+	queue chan origin.Record
+
+	mu   sync.Mutex
+	book *origin.Book
+}
+
+func newOrigins(no *Node) *origins {
+	return &origins{no: no, queue: make(chan origin.Record, originQueue), book: origin.NewBook()}
+}
+
+// Record implements relay.Origins.
+func (og *origins) Record(re origin.Record) {
+	og.add(re)
+	select {
+	case og.queue <- re:
+	default:
+		og.no.log.Warn("origin_not_sent", zap.String("request", string(re.ID)))
+	}
+}
+
+func (og *origins) add(list ...origin.Record) {
+	now := time.Now()
+	og.mu.Lock()
+	defer og.mu.Unlock()
+	for _, re := range list {
+		og.book.Add(now, re)
+	}
+}
+
+func (og *origins) find(id units.RequestID) (origin.Origin, bool) {
+	og.mu.Lock()
+	defer og.mu.Unlock()
+	return og.book.Find(time.Now(), id)
+}
+
+// Find implements relay.Origins.
+func (og *origins) Find(ctx context.Context, id units.RequestID) (origin.Origin, bool) {
+	if found, ok := og.find(id); ok {
+		return found, true
+	}
+	if found, ok := og.ask(ctx, id); ok {
+		return found, true
+	}
+	if !pause.For(ctx, originRetryDelay) {
+		return origin.Origin{}, false
+	}
+	return og.ask(ctx, id)
+}
+
+// ask asks the nodes nearest to an id for its origin and returns the first answer that has it.
+func (og *origins) ask(ctx context.Context, id units.RequestID) (origin.Origin, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	peers := og.no.nearestPeers(id, originLookups)
+	replies := make(chan *origin.Origin, len(peers))
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for _, pe := range peers {
+		wg.Go(func() {
+			re, err := og.no.peerClient.Origins(ctx, pe.Address, &pulse.OriginsRequest{Find: id})
+			if err != nil {
+				replies <- nil
+				return
+			}
+			replies <- re.Origin
+		})
+	}
+	for range peers {
+		if found := <-replies; found != nil {
+			og.add(origin.Record{ID: id, Origin: *found})
+			cancel()
+			return *found, true
+		}
+	}
+	return origin.Origin{}, false
+}
+
+// nearestPeers returns those of the count nodes nearest to an id that are not this one.
+func (no *Node) nearestPeers(id units.RequestID, count int) []pulse.Peer {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	var out []pulse.Peer
+	for _, node := range no.members.Nearest(time.Now(), string(id), count) {
+		if pe := no.peers[node]; pe != nil {
+			out = append(out, pulse.Peer{Node: node, Address: pe.address})
+		}
+	}
+	return out
+}
+
+// run sends origins to the nodes that keep them until ctx ends.
+func (og *origins) run(ctx context.Context) {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case re := <-og.queue:
+			batches := map[pulse.Peer][]origin.Record{}
+			og.assign(batches, re)
+			pause.For(ctx, originBatchTime)
+			for len(og.queue) > 0 {
+				og.assign(batches, <-og.queue)
+			}
+			for pe, list := range batches {
+				wg.Go(func() { og.send(ctx, pe, list) })
+			}
+		}
+	}
+}
+
+func (og *origins) assign(batches map[pulse.Peer][]origin.Record, re origin.Record) {
+	for _, pe := range og.no.nearestPeers(re.ID, originCopies) {
+		batches[pe] = append(batches[pe], re)
+	}
+}
+
+func (og *origins) send(ctx context.Context, pe pulse.Peer, list []origin.Record) {
+	if _, err := og.no.peerClient.Origins(ctx, pe.Address, &pulse.OriginsRequest{Records: list}); err != nil {
+		og.no.log.Debug("origins_not_sent", zap.String("peer", string(pe.Node)), zap.Int("count", len(list)), zap.Error(err))
+	}
+}
+
+// Origins implements pulse.Handler.
+func (no *Node) Origins(rq *pulse.OriginsRequest) *pulse.OriginsReply {
+	no.origins.add(rq.Records...)
+	re := &pulse.OriginsReply{}
+	if rq.Find != "" {
+		if found, ok := no.origins.find(rq.Find); ok {
+			re.Origin = &found
+		}
+	}
+	return re
+}
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -303,7 +303,7 @@
 		Peer:        pulse.Peer{Node: no.settings.VM.ID, Address: no.settings.Listen.Peers},
 		Incarnation: no.incarnation, Wall: now.UnixNano(), HoldsLease: no.isLeader.Load(), StoreTransitions: no.storeHealth.transitionCount(),
 		Loads: rep.Loads, SentPrefixes: rep.SentPrefixes, Admitted: rep.Admitted, PeerAdmitted: rep.PeerTotals,
-		ServerLimits: rep.ServerLimits, IssuesPermits: true,
+		ServerLimits: rep.ServerLimits, IssuesPermits: true, Versions: rep.Versions,
 	}
 	if fo := no.config.Load(); fo != nil {
 		out.Config = fo.Version
@@ -331,7 +331,7 @@
 // applyReport updates the state of a peer from its report.
 func (no *Node) applyReport(re *pulse.Report) {
 	now := time.Now()
-	no.relay.ApplyPeerReport(now, re.Node, re.Incarnation, relay.LoadReport{Loads: re.Loads, SentPrefixes: re.SentPrefixes, Admitted: re.Admitted, PeerTotals: re.PeerAdmitted, ServerLimits: re.ServerLimits})
+	no.relay.ApplyPeerReport(now, re.Node, re.Incarnation, relay.LoadReport{Loads: re.Loads, SentPrefixes: re.SentPrefixes, Admitted: re.Admitted, PeerTotals: re.PeerAdmitted, ServerLimits: re.ServerLimits, Versions: re.Versions})
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	pe := no.addPeer(re.Peer)
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -24,6 +24,7 @@
 	"lycheepick/internal/rule/pool"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/rule/usage"
+	"lycheepick/internal/state/origin"
 )
 
 // Kind classifies why an exchange failed.
@@ -83,9 +84,11 @@
 	// Offered is the demand by callers since the node's start.
 	Offered map[units.TargetID]Demand `json:"offered,omitempty"`
 	// ServerLimits are limits that servers have named, and IssuesPermits is set by nodes that
-	// issue permits for them.
+	// issue permits for them and keep the origins of streams.
 	ServerLimits  []permit.Observation `json:"server_limits,omitempty"`
 	IssuesPermits bool                 `json:"issues_permits,omitempty"`
+	// Versions are the software versions of services whose servers have had several.
+	Versions map[units.TargetID][]units.SoftwareVersion `json:"versions,omitempty"`
 	// Peers is a subset of the nodes with which this node exchanges state.
 	Peers []Peer `json:"peers,omitempty"`
 }
@@ -141,11 +144,23 @@
 	Issuer Peer `json:"issuer"`
 }
 
+// OriginsRequest hands over the origins of streams that began, or asks for one.
+type OriginsRequest struct {
+	Records []origin.Record `json:"records,omitempty"`
+	Find    units.RequestID `json:"find,omitempty"`
+}
+
+// OriginsReply answers an OriginsRequest. Origin is nil if the stream is not known.
+type OriginsReply struct {
+	Origin *origin.Origin `json:"origin,omitempty"`
+}
+
 const (
 	exchangeMethod = "/pulse/exchange"
 	permitsMethod  = "/pulse/permits"
-	// permitsTimeout bounds a request for permits, since a caller's request waits for it.
-	permitsTimeout = 150 * time.Millisecond
+	originsMethod  = "/pulse/origins"
+	// waitingTimeout bounds the calls that a caller's request waits for.
+	waitingTimeout = 150 * time.Millisecond
 	// dialTimeout and callTimeout bound an exchange; round trips to peers take milliseconds.
 	dialTimeout = 500 * time.Millisecond
 	callTimeout = time.Second
@@ -204,7 +219,7 @@
 // AskPermits asks the peer at addr for permits.
 func (cl *Client) AskPermits(ctx context.Context, addr string, rq *permit.Request) (*PermitReply, error) {
 	const op = "pulse.AskPermits"
-	ctx, cancel := context.WithTimeout(ctx, permitsTimeout)
+	ctx, cancel := context.WithTimeout(ctx, waitingTimeout)
 	defer cancel()
 	var out PermitReply
 	if err := cl.pool.Get(ctx, addr, dial).Invoke(ctx, permitsMethod, cl.encoding, rq, &out); err != nil {
@@ -213,6 +228,18 @@
 	return &out, nil
 }
 
+// Origins hands over the origins of streams to the peer at addr, or asks it for one.
+func (cl *Client) Origins(ctx context.Context, addr string, rq *OriginsRequest) (*OriginsReply, error) {
+	const op = "pulse.Origins"
+	ctx, cancel := context.WithTimeout(ctx, waitingTimeout)
+	defer cancel()
+	var out OriginsReply
+	if err := cl.pool.Get(ctx, addr, dial).Invoke(ctx, originsMethod, cl.encoding, rq, &out); err != nil {
+		return nil, fault.Wrap(op, KindFailed, err)
+	}
+	return &out, nil
+}
+
 func dial(ctx context.Context, addr string) (drpcpool.Conn, error) {
 	dl := net.Dialer{Timeout: dialTimeout}
 	raw, err := dl.DialContext(ctx, "tcp", addr)
@@ -231,6 +258,8 @@
 	Exchange(rq *Request) *Reply
 	// Permits answers a peer's request for permits.
 	Permits(rq *permit.Request) *PermitReply
+	// Origins keeps the origins of streams for a peer, or returns one to it.
+	Origins(rq *OriginsRequest) *OriginsReply
 }
 
 // handler adapts a Handler to drpc.
@@ -247,6 +276,8 @@
 		return fault.Wrap(op, KindFailed, answer(st, ha.encoding, ha.handle.Exchange))
 	case permitsMethod:
 		return fault.Wrap(op, KindFailed, answer(st, ha.encoding, ha.handle.Permits))
+	case originsMethod:
+		return fault.Wrap(op, KindFailed, answer(st, ha.encoding, ha.handle.Origins))
 	}
 	return fault.New(op, KindFailed, "unknown method %.40q", rpc)
 }
--- a/internal/rule/permit/members.go
+++ b/internal/rule/permit/members.go
@@ -18,7 +18,8 @@
 	failureTimeout = 1500 * time.Millisecond
 )
 
-// Members is one node's view of the nodes that may issue permits.
+// Members is one node's view of the nodes that may issue permits, or keep other state that is
+// spread over the nodes by rendezvous hashing.
 type Members struct {
 	own   units.VMID
 	peers map[units.VMID]*member
@@ -29,7 +30,7 @@
 	// has reported at all.
 	heardAt  time.Time
 	reported bool
-	// issues is unset for peers of an older release, which issue no permits.
+	// issues is unset for peers of an older release, which do neither.
 	issues bool
 	// failingSince is when calls to the peer began to fail, zero if the last one didn't.
 	failingSince time.Time
@@ -84,6 +85,33 @@
 	return now.Sub(pe.heardAt) <= watch.SilenceTimeout(silenceTimeout, len(me.peers))
 }
 
+// Nearest returns the count nodes that rank highest for a key, this one among them if it does.
+func (me *Members) Nearest(now time.Time, key string, count int) []units.VMID {
+	type ranked struct {
+		id   units.VMID
+		rank uint64
+	}
+	best := make([]ranked, 0, count+1)
+	add := func(id units.VMID) {
+		best = append(best, ranked{id, xxhash.Sum64String(key + string(id))})
+		for at := len(best) - 1; at > 0 && best[at].rank > best[at-1].rank; at-- {
+			best[at], best[at-1] = best[at-1], best[at]
+		}
+		best = best[:min(len(best), count)]
+	}
+	add(me.own)
+	for id, pe := range me.peers {
+		if pe.issues && me.reachable(now, pe) {
+			add(id)
+		}
+	}
+	out := make([]units.VMID, len(best))
+	for idx, ra := range best {
+		out[idx] = ra.id
+	}
+	return out
+}
+
 // Share returns the part of a limit that this node may issue: that of the nodes it hears from
 // among those it knows. The parts that a partition has cut a fleet into then issue no more
 // together than the whole, and so does a new node that the others don't know yet.
--- a/internal/rule/permit/permit_test.go
+++ b/internal/rule/permit/permit_test.go
@@ -188,6 +188,42 @@
 	}
 }
 
+// TestNearestNodesAgree checks that nodes whose views differ by some peers look for state where others
+// have put it.
+func TestNearestNodesAgree(t *testing.T) {
+	for _, nodes := range []int{8, 64, 360} {
+		one, two := permit.NewMembers(nodeID(0)), permit.NewMembers(nodeID(1))
+		for num := range nodes {
+			if num != 0 {
+				one.Heard(epoch, nodeID(num), true)
+			}
+			if num != 1 && num%20 != 7 { // This node has lost one in twenty.
+				two.Heard(epoch, nodeID(num), true)
+			}
+		}
+		missed := 0
+		for num := range 1000 {
+			key := fmt.Sprint("request-", num)
+			found := map[units.VMID]bool{}
+			for _, id := range two.Nearest(epoch, key, 6) {
+				found[id] = true
+			}
+			hits := 0
+			for _, id := range one.Nearest(epoch, key, 2) {
+				if found[id] {
+					hits++
+				}
+			}
+			if hits == 0 {
+				missed++
+			}
+		}
+		if missed > 20 {
+			t.Errorf("%d nodes: have %d of 1000 keys of which no copy is found, want 20 at most", nodes, missed)
+		}
+	}
+}
+
 func nodeID(num int) units.VMID { return units.VMID(fmt.Sprint("node-", num)) }
 
 // TestLimitsSpread checks that a report carries every limit that changed lately, also beside
--- a/internal/rule/place/place.go
+++ b/internal/rule/place/place.go
@@ -43,6 +43,8 @@
 	// Gate tells whether a server takes the request under the limit that it names. Nil lets it
 	// go to any.
 	Gate func(*server.Server) permit.Gate
+	// Version is the software version that the server must have, nil for any.
+	Version *units.SoftwareVersion
 }
 
 // Load is the work that one node has at a server.
@@ -170,6 +172,9 @@
 		if !fl.usable(now, st) {
 			continue
 		}
+		if rq.Version != nil && st.Version != *rq.Version {
+			continue
+		}
 		gate := rq.gate(st)
 		if gate == permit.Closed {
 			continue
--- /dev/null
+++ b/internal/state/origin/origin.go
@@ -0,0 +1,123 @@
+// Package origin keeps the software version at which each stream began. What two versions write
+// does not fit together, so a stream that breaks off may go on only at a server of the version
+// that began it, whichever node its caller takes it up at.
+//
+// Nothing here does I/O or reads a clock, and nothing is safe for concurrent use.
+package origin
+
+import (
+	"time"
+
+	"lycheepick/internal/rule/units"
+)
+
+// Origin is where a stream began.
+type Origin struct {
+	Service units.TargetID        `json:"service"`
+	Version units.SoftwareVersion `json:"version"`
+}
+
+// Record is the origin of the stream whose first event a request brought.
+type Record struct {
+	ID units.RequestID `json:"id"`
+	Origin
+}
+
+// generationTime is half of the longest time for which a record is kept. Streams last seconds,
+// and callers take them up again at once.
+const generationTime = 90 * time.Second
+
+// Book holds records for generationTime at least.
+type Book struct {
+	current, previous map[units.RequestID]Origin
+	rotatedAt         time.Time
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book { return &Book{current: map[units.RequestID]Origin{}} }
+
+// Add adds a record. The first one for an id is kept, as only one request has it.
+func (bo *Book) Add(now time.Time, re Record) {
+	bo.rotate(now)
+	if _, ok := bo.find(re.ID); !ok {
+		bo.current[re.ID] = re.Origin
+	}
+}
+
+// Find returns the origin of the stream whose first event a request brought.
+func (bo *Book) Find(now time.Time, id units.RequestID) (Origin, bool) {
+	bo.rotate(now)
+	return bo.find(id)
+}
+
+func (bo *Book) find(id units.RequestID) (Origin, bool) {
+	if og, ok := bo.current[id]; ok {
+		return og, true
+	}
+	og, ok := bo.previous[id]
+	return og, ok
+}
+
+func (bo *Book) rotate(now time.Time) {
+	if now.Sub(bo.rotatedAt) < generationTime {
+		return
+	}
+	bo.previous, bo.current, bo.rotatedAt = bo.current, map[units.RequestID]Origin{}, now
+}
+
+// versionMemory is how long a software version counts that no server has any more. It is longer
+// than any stream.
+const versionMemory = 10 * time.Minute
+
+// Versions holds which software versions the servers of each service have had lately.
+type Versions struct {
+	seen map[units.TargetID]map[units.SoftwareVersion]time.Time
+}
+
+// NewVersions returns an empty list.
+func NewVersions() *Versions {
+	return &Versions{seen: map[units.TargetID]map[units.SoftwareVersion]time.Time{}}
+}
+
+// See records that a server has a software version.
+func (ve *Versions) See(now time.Time, service units.TargetID, version units.SoftwareVersion) {
+	if ve.seen[service] == nil {
+		ve.seen[service] = map[units.SoftwareVersion]time.Time{}
+	}
+	ve.seen[service][version] = now
+}
+
+// Only returns the version of a service if all its servers have had the same one.
+func (ve *Versions) Only(now time.Time, service units.TargetID) (units.SoftwareVersion, bool) {
+	list := ve.of(now, service)
+	if len(list) != 1 {
+		return "", false
+	}
+	return list[0], true
+}
+
+// Several returns the versions of the services that have had more than one, to report to peers.
+func (ve *Versions) Several(now time.Time) map[units.TargetID][]units.SoftwareVersion {
+	var out map[units.TargetID][]units.SoftwareVersion
+	for id := range ve.seen {
+		if list := ve.of(now, id); len(list) > 1 {
+			if out == nil {
+				out = map[units.TargetID][]units.SoftwareVersion{}
+			}
+			out[id] = list
+		}
+	}
+	return out
+}
+
+func (ve *Versions) of(now time.Time, service units.TargetID) []units.SoftwareVersion {
+	var out []units.SoftwareVersion
+	for version, at := range ve.seen[service] {
+		if now.Sub(at) > versionMemory {
+			delete(ve.seen[service], version)
+			continue
+		}
+		out = append(out, version)
+	}
+	return out
+}
