origin: versions that peers report carry their age; servers in the list count as seen now

Nodes that reported a version to each other would have kept it for ever, and a service whose list of servers doesn't change for ten minutes would have lost its only version, so that streams of unknown beginning were refused there. Both were found by reading the code; TestVersionsAreRemembered and TestUnchangedListKeepsItsVersion.

--- a/internal/bench/crowd/node.go
+++ b/internal/bench/crowd/node.go
@@ -157,11 +157,7 @@
 	no.pool.MergeRelayed(now, other.pool.Relay(now))
 	no.members.Heard(now, other.id, true)
 	no.permits.Merge(now, other.permits.Observations(now))
-	for service, list := range other.versions.Several(now) {
-		for _, version := range list {
-			no.versions.See(now, service, version)
-		}
-	}
+	no.versions.Merge(now, other.versions.Several(now))
 }
 
 // request is one request of a caller.
--- a/internal/edge/relay/origins.go
+++ b/internal/edge/relay/origins.go
@@ -69,6 +69,7 @@
 func (rl *Relay) onlyVersion(now time.Time, rq *Request) (units.SoftwareVersion, bool) {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
+	rl.seeVersions(now)
 	version, only := rl.versions.Only(now, rq.Service)
 	if rq.Resumes != "" && now.Sub(time.Unix(0, rl.syncedAt.Load())) > maxVersionAge {
 		only = false
@@ -76,6 +77,15 @@
 	return version, only
 }
 
+// seeVersions records the software versions of the servers in the list. The caller holds rl.mu.
+func (rl *Relay) seeVersions(now time.Time) {
+	for id, se := range rl.fleets {
+		for _, sv := range se.fleet.List() {
+			rl.versions.See(now, id, sv.Version)
+		}
+	}
+}
+
 // sendsTo reports whether a route sends requests to a service.
 func sendsTo(ro *routes.Route, service units.TargetID) bool {
 	for _, sp := range ro.TrafficSplit {
--- a/internal/edge/relay/origins_test.go
+++ b/internal/edge/relay/origins_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -118,7 +119,7 @@
 // version alone, and takes up a stream that another version began.
 func TestVersionsOfPeersCount(t *testing.T) {
 	rl, ex, si := versionRelay("1", "1"), &versionServers{}, &sink{}
-	rl.ApplyPeerReport(time.Now(), "peer", 1, relay.LoadReport{Versions: map[units.TargetID][]units.SoftwareVersion{"app": {"1", "2"}}})
+	rl.ApplyPeerReport(time.Now(), "peer", 1, relay.LoadReport{Versions: map[units.TargetID]origin.Ages{"app": {"1": 0, "2": time.Minute}}})
 	rq := request(routes.Route{Stream: true, RetryPolicy: routes.Resumable})
 	rq.Customer, rq.Resumes, rq.LastEvent = nil, "first", "3"
 	rl.Serve(context.Background(), rq, ex, si)
@@ -126,3 +127,19 @@
 		t.Errorf("sent to versions %s, status %d, want a refusal", join(ex.versions), si.status)
 	}
 }
+
+// TestUnchangedListKeepsItsVersion guards against a version that is forgotten as the list of servers
+// doesn't change for a long time.
+func TestUnchangedListKeepsItsVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rl, ex, si := versionRelay("1", "1"), &versionServers{}, &sink{}
+		time.Sleep(time.Hour)
+		rl.SetSynced(time.Now())
+		rq := request(routes.Route{Stream: true, RetryPolicy: routes.Resumable})
+		rq.Customer, rq.Resumes, rq.LastEvent = nil, "first", "3"
+		rl.Serve(context.Background(), rq, ex, si)
+		if join(ex.versions) != "1" {
+			t.Errorf("sent to versions %q, status %d, want version 1", join(ex.versions), si.status)
+		}
+	})
+}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -271,9 +271,7 @@
 		se.fleet.SetServers(now, by[id])
 		se.listReadAt = now
 	}
-	for _, sv := range list {
-		rl.versions.See(now, sv.Service, sv.Version)
-	}
+	rl.seeVersions(now)
 	rl.permits.Retain(now, func(sv permit.Server) bool {
 		start, ok := open[sv.ID]
 		return ok && start == sv.StartUnixMS
@@ -314,7 +312,7 @@
 	// ServerLimits are limits that servers have named.
 	ServerLimits []permit.Observation
 	// Versions are the software versions of services whose servers have had several.
-	Versions map[units.TargetID][]units.SoftwareVersion
+	Versions map[units.TargetID]origin.Ages
 }
 
 // ApplyPeerReport merges a peer's report into the local state. inc is the peer's
@@ -327,11 +325,7 @@
 	}
 	rl.pool.MergeReport(now, node, inc, rep.Admitted)
 	rl.pool.MergeRelayed(now, rep.PeerTotals)
-	for service, list := range rep.Versions {
-		for _, version := range list {
-			rl.versions.See(now, service, version)
-		}
-	}
+	rl.versions.Merge(now, rep.Versions)
 	changes := rl.permits.Merge(now, rep.ServerLimits)
 	rl.mu.Unlock()
 	for _, ob := range changes {
@@ -357,6 +351,7 @@
 	}
 	rep.Admitted, rep.PeerTotals = rl.pool.Admitted(), rl.pool.Relay(now)
 	rep.ServerLimits = rl.permits.Observations(now)
+	rl.seeVersions(now)
 	rep.Versions = rl.versions.Several(now)
 	return rep
 }
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -88,7 +88,7 @@
 	ServerLimits  []permit.Observation `json:"server_limits,omitempty"`
 	IssuesPermits bool                 `json:"issues_permits,omitempty"`
 	// Versions are the software versions of services whose servers have had several.
-	Versions map[units.TargetID][]units.SoftwareVersion `json:"versions,omitempty"`
+	Versions map[units.TargetID]origin.Ages `json:"versions,omitempty"`
 	// Peers is a subset of the nodes with which this node exchanges state.
 	Peers []Peer `json:"peers,omitempty"`
 }
--- a/internal/state/origin/origin.go
+++ b/internal/state/origin/origin.go
@@ -79,12 +79,26 @@
 	return &Versions{seen: map[units.TargetID]map[units.SoftwareVersion]time.Time{}}
 }
 
-// See records that a server has a software version.
-func (ve *Versions) See(now time.Time, service units.TargetID, version units.SoftwareVersion) {
+// Ages holds, for software versions, the time since a server last had them.
+type Ages map[units.SoftwareVersion]time.Duration
+
+// See records that a server had a software version at a time.
+func (ve *Versions) See(at time.Time, service units.TargetID, version units.SoftwareVersion) {
 	if ve.seen[service] == nil {
 		ve.seen[service] = map[units.SoftwareVersion]time.Time{}
 	}
-	ve.seen[service][version] = now
+	if at.After(ve.seen[service][version]) {
+		ve.seen[service][version] = at
+	}
+}
+
+// Merge records the versions that a peer reports.
+func (ve *Versions) Merge(now time.Time, reported map[units.TargetID]Ages) {
+	for service, ages := range reported {
+		for version, age := range ages {
+			ve.See(now.Add(-age), service, version)
+		}
+	}
 }
 
 // Only returns the version of a service if all its servers have had the same one.
@@ -97,14 +111,16 @@
 }
 
 // Several returns the versions of the services that have had more than one, to report to peers.
-func (ve *Versions) Several(now time.Time) map[units.TargetID][]units.SoftwareVersion {
-	var out map[units.TargetID][]units.SoftwareVersion
+func (ve *Versions) Several(now time.Time) map[units.TargetID]Ages {
+	out := map[units.TargetID]Ages{}
 	for id := range ve.seen {
-		if list := ve.of(now, id); len(list) > 1 {
-			if out == nil {
-				out = map[units.TargetID][]units.SoftwareVersion{}
-			}
-			out[id] = list
+		list := ve.of(now, id)
+		if len(list) < 2 {
+			continue
+		}
+		out[id] = Ages{}
+		for _, version := range list {
+			out[id][version] = now.Sub(ve.seen[id][version])
 		}
 	}
 	return out
--- a/internal/state/origin/origin_test.go
+++ b/internal/state/origin/origin_test.go
@@ -49,8 +49,14 @@
 	if version, only := ve.Only(epoch.Add(time.Minute), "other"); !only || version != "3" {
 		t.Errorf("have %q, %t, want 3 alone", version, only)
 	}
-	ve.See(epoch.Add(20*time.Minute), "app", "2")
-	if version, only := ve.Only(epoch.Add(20*time.Minute), "app"); !only || version != "2" {
-		t.Errorf("have %q, %t, want 2 alone", version, only)
+	peer := origin.NewVersions()
+	for minute := range 30 { // What two nodes tell each other does not keep a version alive.
+		now := epoch.Add(time.Duration(minute) * time.Minute)
+		peer.See(now, "app", "2")
+		peer.Merge(now, ve.Several(now))
+		ve.Merge(now, peer.Several(now))
+		if version, only := peer.Only(now, "app"); only != (minute > 10) || (only && version != "2") {
+			t.Fatalf("after %d minutes: have %q, %t", minute, version, only)
+		}
 	}
 }
