--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -91,7 +91,7 @@
 		ru.loop(ctx)
 	} else {
 		rl.Counts.NoOrigin.Add(1)
-		ru.abort(fasthttp.StatusServiceUnavailable, "the version that began the stream is not known", noServerRetryAfter)
+		ru.abort("the version that began the stream is not known", noServerRetryAfter)
 	}
 	if ru.machine.State() == answer.NotRun {
 		rl.refund(rq)
@@ -162,7 +162,7 @@
 		ru.rl.Counts.Overload.Add(1)
 		ru.rl.Meter.RecordLate(rq.Service)
 		ru.last = pi
-		ru.abort(fasthttp.StatusServiceUnavailable, "no server can answer in time", after)
+		ru.abort("no server can answer in time", after)
 	default:
 		ru.abortNoServer()
 	}
@@ -195,22 +195,22 @@
 func (ru *run) abortNoServer() {
 	if after := ru.rl.permitRetryAfter(time.Now(), ru.rq.Service); after > 0 {
 		ru.rl.Counts.NoPermit.Add(1)
-		ru.abort(fasthttp.StatusServiceUnavailable, "the limits of all servers are reached", after)
+		ru.abort("the limits of all servers are reached", after)
 		return
 	}
 	ru.rl.Counts.NoServer.Add(1)
-	ru.abort(fasthttp.StatusServiceUnavailable, "no server is usable", noServerRetryAfter)
+	ru.abort("no server is usable", noServerRetryAfter)
 }
 
 // abort ends a request that can't be dispatched.
-func (ru *run) abort(status int, reason string, after time.Duration) {
+func (ru *run) abort(reason string, after time.Duration) {
 	if ru.deliverFailure() {
 		return
 	}
 	if ru.machine.Abort() == answer.NotRun {
-		ru.rl.refuse(ru.rq, ru.sink, status, reason, after)
+		ru.rl.refuse(ru.rq, ru.sink, fasthttp.StatusServiceUnavailable, reason, after)
 		if ru.last.Server.ID != "" {
-			ru.log("refused_after", reason, status)
+			ru.log("refused_after", reason, fasthttp.StatusServiceUnavailable)
 		}
 		return
 	}
--- a/internal/rule/permit/members.go
+++ b/internal/rule/permit/members.go
@@ -146,7 +146,7 @@
 
 func rank(sv Server, node units.VMID) uint64 {
 	var buf [8]byte
-	binary.LittleEndian.PutUint64(buf[:], uint64(sv.StartUnixMS)) //nolint:gosec // Any bits will do.
+	binary.LittleEndian.PutUint64(buf[:], uint64(sv.StartUnixMS))
 	di := xxhash.New()
 	_, _ = di.Write(buf[:])
 	_, _ = di.WriteString(string(sv.ID))
