stand: records of the log expire by the monotonic clock

Cause: the wall clock of that machine was set 36 s ahead during the test. Its log spans 10:13:11 to 10:14:06, the test took 18.4 s by the monotonic clock, and the step lies between two lines that follow each other by milliseconds in every other run. The log stand-in compared the times that records carry, which UTC() strips of their monotonic reading, so all records were older than the retention of 16 s at once. The nodes restate the table in time by any clock but had no time to.

Ruled out: a restatement that came late. The log shows three, 5.5 s apart, the last one less than a second before the step.

Before: TestLogOutlivesClockStep, new, finds 1 of 2 records. After: 2 of 2.

Conclusion: a fault of the stand-in. A log service that drops records when its own clock is set is none of ours; the nodes go on with the table that they hold.

--- a/internal/fake/stand/log.go
+++ b/internal/fake/stand/log.go
@@ -14,6 +14,8 @@
 // Log is an in-memory fake of the log service.
 type Log struct {
 	retention time.Duration
+	// wallClock gives the times that records carry.
+	wallClock func() time.Time
 	faults    faults
 
 	mu      sync.Mutex
@@ -24,12 +26,15 @@
 type stream struct {
 	firstOffset units.Offset
 	records     []logsvc.Record
-	appended    chan struct{}
+	// addedAt holds when each record was appended. It decides when one expires: a time that a
+	// record carries would remove all of them when the wall clock is set.
+	addedAt  []time.Time
+	appended chan struct{}
 }
 
 // NewLog returns an empty log service that removes records older than retention.
 func NewLog(retention time.Duration) *Log {
-	return &Log{retention: retention, streams: map[string]*stream{}}
+	return &Log{retention: retention, wallClock: time.Now, streams: map[string]*stream{}}
 }
 
 // App returns the HTTP server of the log service. GET /admin/appends returns the number of
@@ -64,7 +69,8 @@
 	lo.mu.Lock()
 	st := lo.stream(ct.Params("stream"))
 	off := st.firstOffset + units.Offset(len(st.records))
-	st.records = append(st.records, logsvc.Record{Offset: off, At: time.Now().UTC(), Body: append([]byte(nil), ct.Body()...)})
+	st.records = append(st.records, logsvc.Record{Offset: off, At: lo.wallClock().UTC(), Body: append([]byte(nil), ct.Body()...)})
+	st.addedAt = append(st.addedAt, time.Now())
 	close(st.appended)
 	st.appended = make(chan struct{})
 	lo.appends++
@@ -100,8 +106,8 @@
 	defer lo.mu.Unlock()
 	st := lo.stream(name)
 	oldest := time.Now().Add(-lo.retention)
-	for len(st.records) > 0 && st.records[0].At.Before(oldest) {
-		st.records = st.records[1:]
+	for len(st.records) > 0 && st.addedAt[0].Before(oldest) {
+		st.records, st.addedAt = st.records[1:], st.addedAt[1:]
 		st.firstOffset++
 	}
 	page := logsvc.Page{
