--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -278,14 +278,21 @@
 	if re.SinceStoreOutage > 0 {
 		hold = no.servers.GraceLeft(now)
 	}
-	listed := map[units.VMID]bool{}
+	listed, removals := map[units.VMID]bool{}, 0
 	for _, it := range re.Records {
 		changed = no.foldServer(now, it, "peer "+string(re.Node), hold) || changed
 		listed[units.VMID(it.Key)] = true
+		if len(it.Value) == 0 {
+			removals++
+		}
 	}
 	if re.Snapshot {
 		changed = no.servers.Reconcile(now, listed, hold) || changed
 	}
+	if len(re.Records) > 0 || re.Snapshot {
+		no.log.Info("servers_received", zap.String("peer", string(re.Node)), zap.Int64("from", int64(no.servers.NextOffset())),
+			zap.Int64("to", int64(re.Servers)), zap.Int("records", len(re.Records)), zap.Int("removals", removals), zap.Bool("listing", re.Snapshot))
+	}
 	if re.Complete {
 		no.servers.SkipTo(re.Servers)
 		no.serversLoaded.Store(true)
