entry: a listing of servers is passed on as a listing, not as all that happened

Cause: a node that starts reads a listing, which has no removals. Asked by a peer for what changed since an earlier offset, it answered with the records that it had and marked them as complete, so that the peer skipped the removals in between for good. Whoever's readers restart while servers leave keeps those servers. The class: a list of what exists is passed on as a list of what happened.

Now a node knows from which offset on it knows all removals, and sends the whole list to a peer that asks from before it. Looked for elsewhere, and found twice in the other direction: an answer from before a listing brought removed servers back, and one of all servers removed servers that started after it.

Before: TestServerLeavesInGap fails in 12 of its 21 cases. After: none fails; TestOldRecordsBringNothingBack and TestRemovalsBeforeListing are new. A reloaded list costs a peer that is behind it one answer with all servers.

--- a/internal/node/entry/follow.go
+++ b/internal/node/entry/follow.go
@@ -157,7 +157,8 @@
 		listed[units.VMID(it.Key)] = true
 		no.foldServer(now, it, "store", hold)
 	}
-	no.servers.Reconcile(now, listed, hold)
+	no.servers.Reconcile(now, listed, end, hold)
+	no.records.reconcile(listed, end)
 	no.servers.SkipTo(end)
 	no.mu.Unlock()
 	no.serversLoaded.Store(true)
@@ -217,7 +218,7 @@
 // removal is held back. The caller holds mu.
 func (no *Node) foldServer(now time.Time, it stream.Keyed, source string, hold time.Duration) bool {
 	id := units.VMID(it.Key)
-	if no.records.has(it) {
+	if no.records.isOld(it) {
 		return false
 	}
 	if len(it.Value) == 0 {
--- a/internal/node/entry/follow_test.go
+++ b/internal/node/entry/follow_test.go
@@ -201,3 +201,45 @@
 		})
 	}
 }
+
+// TestOldRecordsBringNothingBack guards against answers of peers that are older than the listing
+// which this node has read: they bring back removed servers, or remove new ones.
+func TestOldRecordsBringNothingBack(t *testing.T) {
+	older := func(list bool, records ...int) func(ft *followTest) {
+		return func(ft *followTest) {
+			ft.exchange("peer-1", 0, func(re *pulse.Reply) {
+				for _, off := range records {
+					it, _ := splitRecord(units.Offset(off), []byte(ft.store.records[off]))
+					re.Records = append(re.Records, it)
+				}
+				re.Servers, re.Complete, re.Snapshot = 2, true, list
+			})
+		}
+	}
+	for _, tt := range []struct {
+		name   string
+		answer func(ft *followTest)
+	}{
+		{"changes", older(false, 1)},
+		{"a whole list", older(true, 0, 1)},
+		{"a whole list without the new server", older(true, 0)},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ft := newFollowTest(t)
+				ft.store.records = append(ft.store.records, "leaves ", "starts ready")
+				ft.serversLoaded.Store(false) // The records before have expired.
+				ft.read(t)
+				tt.answer(ft)
+				if have, want := ft.usable(), "starts stays"; have != want {
+					t.Errorf("usable servers: have %q, want %q", have, want)
+				}
+				for _, it := range ft.records.all() {
+					if it.Key == "leaves" && len(it.Value) > 0 {
+						t.Errorf("have a record of the removed server at offset %d to pass on", it.Offset)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -287,7 +287,8 @@
 		}
 	}
 	if re.Snapshot {
-		changed = no.servers.Reconcile(now, listed, hold) || changed
+		changed = no.servers.Reconcile(now, listed, re.Servers, hold) || changed
+		no.records.reconcile(listed, re.Servers)
 	}
 	if len(re.Records) > 0 || re.Snapshot {
 		no.log.Info("servers_received", zap.String("peer", string(re.Node)), zap.Int64("from", int64(no.servers.NextOffset())),
--- a/internal/node/entry/record.go
+++ b/internal/node/entry/record.go
@@ -15,8 +15,9 @@
 	byKey map[string]record
 	// removals are the keys and offsets of removed servers, oldest first.
 	removals []stream.Keyed
-	// evictedTo is the offset of the latest removal that was evicted, -1 if there is none.
-	evictedTo units.Offset
+	// knownFrom is the offset from which on every removal is known. Earlier ones were evicted,
+	// or a listing took their place.
+	knownFrom units.Offset
 }
 
 type record struct {
@@ -26,12 +27,26 @@
 	changedAt units.Offset
 }
 
-func newRecords() records { return records{byKey: map[string]record{}, evictedTo: -1} }
+func newRecords() records { return records{byKey: map[string]record{}} }
 
-// has reports whether it, or a later record of the same server, is known.
-func (re *records) has(it stream.Keyed) bool {
-	have, ok := re.byKey[it.Key]
-	return ok && have.Offset >= it.Offset
+// isOld reports whether a record tells nothing new: it or a later one of the same server is
+// known, or the server was removed later by a removal that isn't known any more.
+func (re *records) isOld(it stream.Keyed) bool {
+	if have, ok := re.byKey[it.Key]; ok {
+		return have.Offset >= it.Offset
+	}
+	return it.Offset < re.knownFrom
+}
+
+// reconcile applies a listing of all servers as of offset end: the records of other servers
+// are dropped, since they were removed before it.
+func (re *records) reconcile(listed map[units.VMID]bool, end units.Offset) {
+	for key, rec := range re.byKey {
+		if rec.Offset < end && !listed[units.VMID(key)] {
+			delete(re.byKey, key)
+		}
+	}
+	re.knownFrom = max(re.knownFrom, end)
 }
 
 // put stores a record; isChange tells whether it changes the server's state. A record that
@@ -52,20 +67,35 @@
 		if re.byKey[old.Key].Offset == old.Offset {
 			delete(re.byKey, old.Key)
 		}
-		re.evictedTo = max(re.evictedTo, old.Offset)
+		re.knownFrom = max(re.knownFrom, old.Offset+1)
 	}
 }
 
 // since returns the newest record of each server that changed at off or later, by offset. If
-// removals from off on were evicted, it returns the newest record of every server and sets
-// listing.
+// not all removals from off on are known, it returns the newest record of every server and
+// sets listing.
 func (re *records) since(off units.Offset) (out []stream.Keyed, listing bool) {
-	listing = off <= re.evictedTo
+	if off < re.knownFrom {
+		return re.all(), true
+	}
 	for _, rec := range re.byKey {
-		if rec.changedAt >= off || listing {
+		if rec.changedAt >= off {
 			out = append(out, rec.Keyed)
 		}
 	}
-	sort.Slice(out, func(one, two int) bool { return out[one].Offset < out[two].Offset })
-	return out, listing
+	return sortByOffset(out), false
+}
+
+// all returns the newest record of every server, by offset.
+func (re *records) all() []stream.Keyed {
+	out := make([]stream.Keyed, 0, len(re.byKey))
+	for _, rec := range re.byKey {
+		out = append(out, rec.Keyed)
+	}
+	return sortByOffset(out)
+}
+
+func sortByOffset(list []stream.Keyed) []stream.Keyed {
+	sort.Slice(list, func(one, two int) bool { return list[one].Offset < list[two].Offset })
+	return list
 }
--- a/internal/node/entry/record_test.go
+++ b/internal/node/entry/record_test.go
@@ -39,6 +39,17 @@
 			re.put(stream.Keyed{Key: "a", Offset: 5}, true)
 			re.put(stream.Keyed{Key: "a", Value: full, Offset: 6}, false)
 		}, 6, "a@6 "},
+		{"a record from before a listing that lacks its server", func(re *records) {
+			re.reconcile(map[units.VMID]bool{}, 4)
+			if it := (stream.Keyed{Key: "a", Value: full, Offset: 3}); !re.isOld(it) {
+				re.put(it, true)
+			}
+		}, 4, ""},
+		{"a server that a listing lacks", func(re *records) {
+			re.put(stream.Keyed{Key: "a", Value: full, Offset: 3}, true)
+			re.put(stream.Keyed{Key: "b", Value: full, Offset: 4}, true)
+			re.reconcile(map[units.VMID]bool{}, 4)
+		}, 4, "b@4 "},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			re := newRecords()
@@ -55,6 +66,18 @@
 	}
 }
 
+// A listing has no removals, so a peer that asks from an offset before it has to get the whole list.
+func TestRemovalsBeforeListing(t *testing.T) {
+	re := newRecords()
+	re.put(stream.Keyed{Key: "a", Value: []byte("{}"), Offset: 3}, true)
+	re.reconcile(map[units.VMID]bool{"a": true}, 10)
+	for off, want := range map[units.Offset]bool{0: true, 9: true, 10: false} {
+		if _, have := re.since(off); have != want {
+			t.Errorf("from offset %d: have the whole list %t, want %t", off, have, want)
+		}
+	}
+}
+
 // A peer that asks from an offset before the last evicted removal has to get the whole list;
 // otherwise it would keep servers that have been removed.
 func TestOldRemovalsAreForgotten(t *testing.T) {
--- a/internal/state/server/server.go
+++ b/internal/state/server/server.go
@@ -273,14 +273,16 @@
 	return changed
 }
 
-// Reconcile folds a complete listing of the store: servers that aren't in it are removed,
-// or held back as in Remove. It returns true if the list changed.
-func (rg *Registry) Reconcile(now time.Time, listed map[units.VMID]bool, hold time.Duration) bool {
+// Reconcile folds a listing of all servers as of offset end: servers that aren't in it are
+// removed, or held back as in Remove, unless a later record of them was read. It returns true if
+// the list changed.
+func (rg *Registry) Reconcile(now time.Time, listed map[units.VMID]bool, end units.Offset, hold time.Duration) bool {
 	changed := false
 	for id, st := range rg.entries {
-		if listed[id] || st.removed {
+		if listed[id] || st.removed || st.offset >= end {
 			continue
 		}
+		st.offset = end - 1 // An older record than the listing must not bring the server back.
 		if !st.Draining && hold > 0 {
 			st.removeAt = now.Add(hold)
 			continue
