entry, platform: offsets of the store are compared within one era only

After a drill in which the store comes back from a copy some seconds old, servers that leave would be used until the stream has passed its old end, and no duty would be done any more: all nodes append to the lease at an end that the stream can't reach.

Cause: an offset was taken for a time, though it orders records only within one life of the store.

Ruled out: a reload at 410 alone. A stream that has grown past its old end gives no 410, and a node whose copy of the lease names itself would act beside the holder of the lost seconds (TestHoldersNeverAlternate fails then).

Before: TestStoreComesBackFromCopy and TestDutiesGoOnAfterCopy time out after 30 s. After: both pass, and three cases of TestServerLeavesInGap at 8 and 87 nodes, one at 360.

--- a/internal/node/entry/duty.go
+++ b/internal/node/entry/duty.go
@@ -48,6 +48,8 @@
 // the next leader continues from.
 type leaseRecord struct {
 	lease.Holder
+	// Era is the era of the store in which the record was written.
+	Era    units.Era                `json:"era,omitempty"`
 	Began  map[string]usage.Windows `json:"began,omitempty"`
 	Ledger usage.Ledger             `json:"ledger,omitempty"`
 	// Demand is the demand for each service on which the leader's orders were based.
@@ -125,14 +127,21 @@
 // loadLease reads the newest lease record.
 func (no *Node) loadLease(ctx context.Context) error {
 	ld := &no.leader
-	items, end, err := no.platform.Store.Newest(ctx, leaseStream)
+	list, err := no.platform.Store.Newest(ctx, leaseStream)
 	if err != nil {
 		return err
 	}
-	for _, it := range items {
+	var written units.Era
+	for _, it := range list.Items {
+		if rec, ok := no.decodeLease(it); ok {
+			written = max(written, rec.Era)
+		}
+	}
+	ld.lease.EnterEra(bootTime(), list.Era, written)
+	for _, it := range list.Items {
 		no.applyLease(it)
 	}
-	ld.lease.SkipTo(bootTime(), end)
+	ld.lease.SkipTo(bootTime(), list.End)
 	ld.loaded, ld.readAt = true, time.Now()
 	return nil
 }
@@ -161,10 +170,17 @@
 	return nil
 }
 
-func (no *Node) applyLease(it stream.Keyed) {
-	var rec leaseRecord
+func (no *Node) decodeLease(it stream.Keyed) (rec leaseRecord, ok bool) {
 	if err := json.Unmarshal(it.Value, &rec); err != nil {
 		no.log.Warn("duty_record_unreadable", zap.Int64("offset", int64(it.Offset)), zap.Error(err))
+		return rec, false
+	}
+	return rec, true
+}
+
+func (no *Node) applyLease(it stream.Keyed) {
+	rec, ok := no.decodeLease(it)
+	if !ok {
 		return
 	}
 	no.leader.lease.Read(bootTime(), it.Offset, rec.Holder)
@@ -195,7 +211,7 @@
 // returns false if the append failed, as it does if another node has appended first.
 func (no *Node) appendLease(ctx context.Context, closing usage.Ledger) bool {
 	ld := &no.leader
-	rec := leaseRecord{Holder: lease.Holder{Node: no.settings.VM.ID, Incarnation: no.incarnation}, Ledger: usage.Ledger{}, Demand: ld.orders.rates()}
+	rec := leaseRecord{Holder: lease.Holder{Node: no.settings.VM.ID, Incarnation: no.incarnation}, Era: ld.lease.Era(), Ledger: usage.Ledger{}, Demand: ld.orders.rates()}
 	ld.mu.Lock()
 	rec.Ledger.Merge(ld.ledger)
 	ld.mu.Unlock()
@@ -211,6 +227,10 @@
 	sent := bootTime()
 	off, err := no.platform.Store.Append(ctx, leaseStream, ld.lease.NextOffset(), no.platform.EncodeRecord(leaseKey, raw))
 	if err != nil {
+		if fault.Is(err, stream.KindExpired) {
+			ld.loaded = false
+			ld.lease.Drop()
+		}
 		no.log.Info("duty_append_failed", zap.Int64("offset", int64(ld.lease.NextOffset())), zap.Error(err))
 		return false
 	}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -110,8 +110,11 @@
 	// and behindSince is the time since which this node has read less.
 	maxPeerOffset units.Offset
 	behindSince   time.Time
-	peers         map[units.VMID]*peer
-	members       *permit.Members
+	// serversEra is the era of the store to which the offsets of servers and records belong,
+	// and maxPeerEra the one to which maxPeerOffset belongs.
+	serversEra, maxPeerEra units.Era
+	peers                  map[units.VMID]*peer
+	members                *permit.Members
 	// configFetches is the number of exchanges in progress that ask for the configuration.
 	configFetches int
 	usageBook     *usage.Counter
--- a/internal/node/entry/follow.go
+++ b/internal/node/entry/follow.go
@@ -61,14 +61,14 @@
 }
 
 func (no *Node) loadConfig(ctx context.Context) (units.Offset, error) {
-	items, end, err := no.platform.Store.Newest(ctx, no.platform.OperatorStream)
+	list, err := no.platform.Store.Newest(ctx, no.platform.OperatorStream)
 	if err != nil {
 		return -1, err
 	}
-	for _, it := range items {
+	for _, it := range list.Items {
 		no.applyRecord(it, "store")
 	}
-	return end, nil
+	return list.End, nil
 }
 
 func (no *Node) readConfig(ctx context.Context, next units.Offset) (units.Offset, error) {
@@ -144,22 +144,27 @@
 
 func (no *Node) loadServers(ctx context.Context) (bool, error) {
 	asked := time.Now()
-	items, end, err := no.platform.Store.Newest(ctx, no.platform.ServerStream)
+	list, err := no.platform.Store.Newest(ctx, no.platform.ServerStream)
 	if err != nil {
 		return false, err
 	}
 	no.mu.Lock()
 	now := time.Now()
+	if list.Era < no.serversEra {
+		no.mu.Unlock()
+		return false, nil // A peer has told of a later era meanwhile.
+	}
+	no.enterEra(now, list.Era, "store")
 	no.setSynced(asked)
 	hold := no.removalHold(now)
 	listed := map[units.VMID]bool{}
-	for _, it := range items {
+	for _, it := range list.Items {
 		listed[units.VMID(it.Key)] = true
 		no.foldServer(now, it, "store", hold)
 	}
-	no.servers.Reconcile(now, listed, end, hold)
-	no.records.reconcile(listed, end)
-	no.servers.SkipTo(end)
+	no.servers.Reconcile(now, listed, list.End, hold)
+	no.records.reconcile(listed, list.End)
+	no.servers.SkipTo(list.End)
 	no.mu.Unlock()
 	no.serversLoaded.Store(true)
 	no.publishServers("store_list")
@@ -168,7 +173,7 @@
 
 func (no *Node) readServers(ctx context.Context) (bool, error) {
 	no.mu.Lock()
-	next := no.servers.NextOffset()
+	next, era := no.servers.NextOffset(), no.serversEra
 	no.mu.Unlock()
 	wait := no.storeHealth.readWait(serversReadWait)
 	page, err := no.platform.Store.Read(ctx, no.platform.ServerStream, next, wait)
@@ -179,6 +184,10 @@
 		return true, err
 	}
 	no.mu.Lock()
+	if era != no.serversEra {
+		no.mu.Unlock()
+		return false, nil
+	}
 	now := time.Now()
 	hold := no.removalHold(now)
 	changed := false
@@ -201,6 +210,20 @@
 	return true, nil
 }
 
+// enterEra starts the offsets of server records anew if the store has come back from an older
+// copy since they were read. The caller holds mu.
+func (no *Node) enterEra(now time.Time, era units.Era, source string) {
+	if era <= no.serversEra {
+		return
+	}
+	if no.servers.NextOffset() > 0 {
+		no.servers.Restart(now)
+		no.records = newRecords()
+		no.log.Warn("store_restored", zap.Int64("era", int64(era)), zap.String("source", source))
+	}
+	no.serversEra = era
+}
+
 // removalHold returns how long the removals among records that were just read from the store
 // are held back. The caller holds mu.
 func (no *Node) removalHold(now time.Time) time.Duration {
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -113,12 +113,12 @@
 	}
 	for {
 		_, err := no.platform.Store.Append(ctx, nodesStream, stream.Unconditional, no.platform.EncodeRecord(string(no.settings.VM.ID), own))
-		var items []stream.Keyed
+		var list stream.Listing
 		if err == nil {
-			items, _, err = no.platform.Store.Newest(ctx, nodesStream)
+			list, err = no.platform.Store.Newest(ctx, nodesStream)
 		}
 		if err == nil {
-			no.addPeers(items)
+			no.addPeers(list.Items)
 			return
 		}
 		no.log.Warn("registration_failed", zap.Error(err))
@@ -250,7 +250,7 @@
 	if no.serversLoaded.Load() && !no.watch.IsReader() && id == no.watch.Reader() {
 		return true
 	}
-	if no.servers.NextOffset() >= no.maxPeerOffset {
+	if !no.isBehind() {
 		no.behindSince = time.Time{}
 		return false
 	}
@@ -260,10 +260,35 @@
 	return time.Since(no.behindSince) >= maxLag
 }
 
+// isBehind reports whether a peer's list of servers is later than this node's. The caller
+// holds mu.
+func (no *Node) isBehind() bool {
+	if no.serversEra != no.maxPeerEra {
+		return no.serversEra < no.maxPeerEra
+	}
+	return no.servers.NextOffset() < no.maxPeerOffset
+}
+
+// notePeerServers takes note of how far a peer has read the list of servers. The caller holds
+// mu.
+func (no *Node) notePeerServers(re *pulse.Report) {
+	if re.StoreEra > no.maxPeerEra {
+		no.maxPeerEra, no.maxPeerOffset = re.StoreEra, 0
+	}
+	if re.StoreEra == no.maxPeerEra {
+		no.maxPeerOffset = max(no.maxPeerOffset, re.Servers)
+	}
+}
+
 // applyServers folds the server records of a reply. asked is when the request was sent.
 func (no *Node) applyServers(re *pulse.Reply, asked time.Time) {
 	no.mu.Lock()
 	now := time.Now()
+	if re.StoreEra < no.serversEra || (re.StoreEra > no.serversEra && !re.Snapshot) {
+		no.mu.Unlock()
+		return // Offsets of another era can't be compared with this node's.
+	}
+	no.enterEra(now, re.StoreEra, "peer "+string(re.Node))
 	synced := asked.Add(-re.ServersAge)
 	changed := false
 	if pe := no.peers[re.Node]; pe != nil && re.SinceStoreOutage == 0 {
@@ -319,7 +344,7 @@
 	}
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	out.Servers, out.ServersAge = no.servers.NextOffset(), no.watch.Age(now)
+	out.Servers, out.StoreEra, out.ServersAge = no.servers.NextOffset(), no.serversEra, no.watch.Age(now)
 	out.SinceStoreOutage = no.servers.SinceRecovery(now)
 	out.UsageWindows = no.usageBook.SourceCounts(no.ownSource())
 	out.Offered = make(map[units.TargetID]pulse.Demand, len(no.offered))
@@ -361,7 +386,7 @@
 	}
 	pe.incarnation, pe.storeTransitions = re.Incarnation, re.StoreTransitions
 	pe.config = re.Config
-	no.maxPeerOffset = max(no.maxPeerOffset, re.Servers)
+	no.notePeerServers(re)
 	if re.HoldsLease {
 		no.leader.reportedAt, no.leader.reportedBy = now, re.Node
 	}
@@ -381,13 +406,22 @@
 	if fo := no.config.Load(); fo.version() > rq.Config {
 		no.addConfig(out, fo, rq.WantConfig)
 	}
-	if rq.WantServers && rq.Servers < out.Servers {
-		no.mu.Lock()
-		defer no.mu.Unlock()
-		// The list may have advanced since the report was built.
-		out.Servers = no.servers.NextOffset()
-		out.Records, out.Snapshot = no.records.since(rq.Servers)
-		out.Complete = true
+	if rq.WantServers && (rq.StoreEra < out.StoreEra || rq.StoreEra == out.StoreEra && rq.Servers < out.Servers) {
+		no.addServers(out, rq)
 	}
 	return out
 }
+
+// addServers adds the server records that a peer lacks to a reply: all of them if it has those of
+// an earlier era of the store.
+func (no *Node) addServers(out *pulse.Reply, rq *pulse.Request) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	// The list may have advanced since the report was built.
+	out.Servers, out.StoreEra, out.Complete = no.servers.NextOffset(), no.serversEra, true
+	if rq.StoreEra < no.serversEra {
+		out.Records, out.Snapshot = no.records.all(), true
+		return
+	}
+	out.Records, out.Snapshot = no.records.since(rq.Servers)
+}
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -65,7 +65,9 @@
 	Config units.Version `json:"config"`
 	// Servers is the stream offset up to which the node has folded server records into
 	// its list, and ServersAge the time since that list was last known to match the store.
-	Servers    units.Offset  `json:"servers"`
+	Servers units.Offset `json:"servers"`
+	// StoreEra is the era of the store to which Servers belongs.
+	StoreEra   units.Era     `json:"store_era,omitempty"`
 	ServersAge time.Duration `json:"agreed"`
 	// SinceStoreOutage is the time since the end of a store outage in which server records
 	// may have expired. It is set only while such records may still be missing.
--- a/internal/plat/stream/stream.go
+++ b/internal/plat/stream/stream.go
@@ -22,7 +22,8 @@
 	KindUnanswered Kind = "unanswered"
 	// KindConflict means that a conditional append found the stream's end at another offset.
 	KindConflict Kind = "conflict"
-	// KindExpired means that a read began at an offset that is no longer stored.
+	// KindExpired means that a call names an offset that the store no longer has, or that
+	// belongs to an era before the store came back from an older copy.
 	KindExpired Kind = "expired"
 )
 
@@ -40,6 +41,14 @@
 	Value []byte
 }
 
+// Listing is the newest record of each key of a stream.
+type Listing struct {
+	Items []Keyed
+	// End is the end of the stream as of before the first item was read.
+	End units.Offset
+	Era units.Era
+}
+
 // Page is the result of a read.
 type Page struct {
 	// From is the offset of the first record in the page, End the offset after the last
@@ -51,14 +60,15 @@
 // Store is the platform's store.
 type Store interface {
 	// Append appends records and returns the offset of the first. If at is not negative,
-	// it appends only if the stream ends at that offset, and else fails with KindConflict.
+	// it appends only if the stream ends at that offset, and else fails with KindConflict, or
+	// with KindExpired if the store's era has changed since the stream was listed.
 	Append(ctx context.Context, na Name, at units.Offset, records ...[]byte) (units.Offset, error)
 	// Read returns records from offset from on. If there is none, it waits up to wait for
-	// the first.
+	// the first. It fails with KindExpired if the offset isn't stored any more, or if the
+	// store's era has changed since the stream was listed.
 	Read(ctx context.Context, na Name, from units.Offset, wait time.Duration) (Page, error)
-	// Newest returns the newest record of each key, and the end of the stream as of before
-	// the first of them was read.
-	Newest(ctx context.Context, na Name) ([]Keyed, units.Offset, error)
+	// Newest lists the newest record of each key.
+	Newest(ctx context.Context, na Name) (Listing, error)
 }
 
 // Unconditional is the offset to pass to Append for an unconditional append.
--- a/internal/rule/lease/lease.go
+++ b/internal/rule/lease/lease.go
@@ -5,7 +5,8 @@
 // renews it by further appends. A node that reads no record of the holder for longer than the
 // lease takes over; a holder stops acting a shorter time after its last append. So a holder
 // that was paused or cut off finds out from its own clock, and no two act at the same time.
-// The fencing token is one more than the offset of the record that acquired the lease.
+// The fencing token is one more than the offset of the record that acquired the lease, below the
+// era of the store.
 //
 // Nothing here does I/O or reads a clock, and nothing is safe for concurrent use. Times are of
 // a clock that continues while the VM is suspended.
@@ -49,6 +50,11 @@
 	lastRead   time.Duration
 	renewedAt  time.Duration
 	hasHolder  bool
+	// era is the era of the store to which next belongs, once the records are listed.
+	era    units.Era
+	listed bool
+	// waitUntil is the time until which no node may acquire the lease.
+	waitUntil time.Duration
 }
 
 // New returns the view of a node that has read nothing.
@@ -58,6 +64,26 @@
 // acquires or renews the lease has to be.
 func (le *Lease) NextOffset() units.Offset { return le.next }
 
+// EnterEra records the era of the store in which the records are listed, before they are read, and
+// the era in which the newest of them was written, 0 if there is none. If the store has come back from an older copy
+// in between, it may lack the latest records, whose holder may still act. So offsets start anew,
+// and this node appends nothing for as long as a successor waits.
+func (le *Lease) EnterEra(now time.Duration, era, written units.Era) {
+	if le.listed && era <= le.era {
+		return
+	}
+	if le.listed || written < era {
+		le.waitUntil = now + le.timing.Lease + le.timing.Margin
+	}
+	le.listed, le.era, le.next, le.hasHolder = true, era, 0, false
+}
+
+// Era returns the era of the store in which the records were listed.
+func (le *Lease) Era() units.Era { return le.era }
+
+// Drop gives the lease up until it is acquired again.
+func (le *Lease) Drop() { le.hasHolder = false }
+
 // Read folds the record at off. Records before NextOffset are ignored.
 func (le *Lease) Read(now time.Duration, off units.Offset, ho Holder) {
 	if off < le.next {
@@ -86,12 +112,15 @@
 	}
 }
 
+// eraBits is the number of bits of a fencing token below the era.
+const eraBits = 32
+
 // Active tells whether this node may act as the holder now, and under which fencing token.
 func (le *Lease) Active(now time.Duration) (fence units.Offset, ok bool) {
 	if !le.hasHolder || le.holder != le.own || le.renewedAt == 0 {
 		return 0, false
 	}
-	return le.acquiredAt + 1, now-le.renewedAt < le.timing.ActiveTime()
+	return units.Offset(le.era)<<eraBits + le.acquiredAt + 1, now-le.renewedAt < le.timing.ActiveTime()
 }
 
 // IsHolder tells whether this node was the last to append, still active or not.
@@ -99,6 +128,9 @@
 
 // ShouldAppend tells whether this node should append now, to renew or to acquire the lease.
 func (le *Lease) ShouldAppend(now time.Duration) bool {
+	if now < le.waitUntil {
+		return false
+	}
 	if !le.hasHolder {
 		return true
 	}
--- a/internal/rule/units/units.go
+++ b/internal/rule/units/units.go
@@ -41,6 +41,9 @@
 	Version uint64
 	// Offset is the position of a record in a stream of the log service or of the store.
 	Offset int64
+	// Era counts how often the store has come back from an older copy of itself. Offsets of
+	// different eras can't be compared: some are given out again.
+	Era int64
 	// Tokens is a number of model tokens.
 	Tokens int64
 	// TokensPerSecond is a rate of model tokens.
--- a/internal/state/server/server.go
+++ b/internal/state/server/server.go
@@ -58,6 +58,9 @@
 	// offset is that of the latest record read for this id.
 	offset  units.Offset
 	removed bool
+	// restored is set for a server that had been removed when the store came back from an
+	// older copy, which may still have it.
+	restored bool
 	// removeAt is when a removal that was held back takes effect; zero if there is none.
 	removeAt  time.Time
 	changedAt time.Time
@@ -89,6 +92,16 @@
 // SkipTo reports that all records before off are folded. It never moves the offset back.
 func (rg *Registry) SkipTo(off units.Offset) { rg.nextOffset = max(rg.nextOffset, off) }
 
+// Restart starts the offsets anew after the store has come back from an older copy of itself.
+// What the copy lacks is written again soon, so removals are held back as after an outage.
+func (rg *Registry) Restart(now time.Time) {
+	rg.nextOffset = 0
+	rg.recoveredAt, rg.outageStart = now, now
+	for _, st := range rg.entries {
+		st.offset, st.restored = -1, st.removed
+	}
+}
+
 // StoreDown reports that the store is unreachable for this node.
 func (rg *Registry) StoreDown(now time.Time) {
 	if !rg.storeDown {
@@ -197,7 +210,7 @@
 		return false
 	}
 	st.offset = off
-	if st.isNewerThan(&in) {
+	if st.isNewerThan(&in) || st.isRemovedAfter(&in) {
 		return false
 	}
 	before, removed := st.Status, st.removed
@@ -205,7 +218,7 @@
 		in.Draining = true // Draining is final for this incarnation.
 	}
 	st.Status, st.ReadAt = in, now
-	st.removed, st.removeAt = false, time.Time{}
+	st.removed, st.restored, st.removeAt = false, false, time.Time{}
 	before.Sequence = in.Sequence
 	if before == in && !removed {
 		return false
@@ -223,6 +236,12 @@
 	return in.Sequence < st.Sequence && !in.startsIncarnationAfter(&st.Status, st.removed)
 }
 
+// isRemovedAfter reports whether a record that an older copy of the store had may be from before
+// the server's removal.
+func (st *entry) isRemovedAfter(in *Status) bool {
+	return st.restored && in.StartUnixMS == st.StartUnixMS && in.Sequence <= st.Sequence
+}
+
 // startsIncarnationAfter reports whether a record is from a later incarnation than before.
 // For servers that don't state their start time, a sequence number that restarts counts as a
 // new incarnation if the server was removed or the number is at most 1.
