--- a/internal/node/entry/gap_test.go
+++ b/internal/node/entry/gap_test.go
@@ -411,6 +411,7 @@
 // TestServerLeavesInGap guards against nodes that go on sending to a server whose leaving fell
 // into a gap in what they, or the nodes that tell them, have read.
 func TestServerLeavesInGap(t *testing.T) {
+	running := make(chan struct{}, 2) // Tests of other packages measure times meanwhile.
 	for _, gc := range gapCases() {
 		for _, nodes := range []int{8, 87, 360} {
 			if nodes > 87 && !gc.large {
@@ -421,6 +422,8 @@
 					t.Skip("the model runs in one goroutine; large fleets show the race detector nothing more")
 				}
 				t.Parallel()
+				running <- struct{}{}
+				defer func() { <-running }()
 				synctest.Test(t, func(t *testing.T) {
 					fl := newFleet(nodes, 1)
 					fl.run(8*time.Second, func(at time.Duration) {
--- a/internal/rule/lease/lease.go
+++ b/internal/rule/lease/lease.go
@@ -53,7 +53,7 @@
 	// era is the era of the store to which next belongs, once the records are listed.
 	era    units.Era
 	listed bool
-	// waitUntil is the time until which no node may acquire the lease.
+	// waitUntil is the time until which this node appends nothing.
 	waitUntil time.Duration
 }
 
@@ -65,9 +65,9 @@
 func (le *Lease) NextOffset() units.Offset { return le.next }
 
 // EnterEra records the era of the store in which the records are listed, before they are read, and
-// the era in which the newest of them was written, 0 if there is none. If the store has come back from an older copy
-// in between, it may lack the latest records, whose holder may still act. So offsets start anew,
-// and this node appends nothing for as long as a successor waits.
+// the era in which the newest of them was written, 0 if there is none. If the store has come back
+// from an older copy in between, it may lack the latest records, whose holder may still act. So
+// offsets start anew, and this node appends nothing for as long as a successor waits.
 func (le *Lease) EnterEra(now time.Duration, era, written units.Era) {
 	if le.listed && era <= le.era {
 		return
