relay: log line for attempts that a server breaks off

No line told which parts a lost request's prompt held, or how long its answer had been under way. Without them a request that crashes servers can't be told from those that shared a server with it. A stream without a length that ends within an event now counts as cut short as well.

--- a/internal/edge/relay/answer.go
+++ b/internal/edge/relay/answer.go
@@ -30,6 +30,7 @@
 // recordStart records that a response started. began is the time at which the request counts
 // as executed.
 func (ru *run) recordStart(pi *picked, began time.Time) {
+	ru.beganAt = time.Now()
 	ru.rl.recordFirstByte(ru.rq.Service, pi)
 	if time.Since(pi.sent) > ru.rq.Route.TargetLatency {
 		ru.rl.Meter.RecordLate(ru.rq.Service)
@@ -107,7 +108,7 @@
 			}
 			return nil
 		case errors.Is(err, io.EOF):
-			return fault.New(op, KindBroken, "server %s ended a stream within an event", pi.Server.ID)
+			return fault.Wrap(op, KindBroken, errors.Wrapf(io.ErrUnexpectedEOF, "server %s ended a stream within an event", pi.Server.ID))
 		case err != nil:
 			return fault.Wrap(op, KindBroken, err)
 		}
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -57,6 +57,8 @@
 	// failure is the error response of a server. It is sent to the caller if no retry
 	// succeeds.
 	failure *failure
+	// beganAt is when the response of the current attempt began, zero before.
+	beganAt time.Time
 }
 
 type failure struct {
@@ -127,6 +129,9 @@
 		ru.sends++
 		err := ru.attempt(ctx, &pi)
 		ru.settle(att, &pi, err)
+		if isLost(err) {
+			ru.logLost(&pi)
+		}
 		if err == nil {
 			ru.finish(nil)
 			return
@@ -339,7 +344,7 @@
 		defer ru.firstByteTimer.Stop()
 	}
 	ru.rl.Counts.Sent.Add(1)
-	ru.unsent = 0
+	ru.unsent, ru.beganAt = 0, time.Time{}
 	sentAt := time.Now()
 	rp, err := ru.ex.Send(ctx, &Attempt{
 		Server: pi.Server, Deadline: ru.rq.Deadline, Priority: ru.rq.Priority, LastEvent: ru.lastEvent,
