--- a/internal/bench/crowd/crowd.go
+++ b/internal/bench/crowd/crowd.go
@@ -39,6 +39,8 @@
 	BusyNodes int
 	// Streams makes the streams of requests break off.
 	Streams Streams
+	// Crashes makes servers crash.
+	Crashes Crashes
 }
 
 // Reclaim gives notice to servers at At and ends them Notice later. Replacements start to
@@ -111,6 +113,8 @@
 	ServerLimits LimitResult
 	// Streams summarises the streams that callers took up again.
 	Streams StreamResult
+	// Crashes summarises the requests that crash servers.
+	Crashes CrashResult
 	// Seconds holds the counts by the second of arrival.
 	Seconds []Counts
 }
@@ -170,6 +174,7 @@
 	lastRequest uint64
 	seen        map[place.BlockID]bool
 	admissions  []admission
+	guilty      []*guilty
 	result      Result
 }
 
@@ -208,6 +213,7 @@
 	for _, rc := range se.Load.Reclaims {
 		ru.scheduleAt(rc.At, func() { ru.reclaim(rc) })
 	}
+	ru.scheduleCrashes()
 	ru.scheduleAt(0, ru.arrive)
 	for len(ru.events) > 0 {
 		ev := heap.Pop(&ru.events).(event)
@@ -216,6 +222,7 @@
 	}
 	ru.result.LimitRatio = ru.limitRatio()
 	ru.result.ServerLimits = ru.limitResult()
+	ru.crashResult()
 	return ru.result
 }
 
--- a/internal/bench/crowd/engine.go
+++ b/internal/bench/crowd/engine.go
@@ -26,6 +26,8 @@
 	// cacheUsed is the number of tokens in cache, useCount a logical clock for its eviction.
 	cacheUsed units.Tokens
 	useCount  int
+	// frozenUntil is the end of a freeze.
+	frozenUntil time.Time
 	// period is the current one of periods, nil while the server names no limit.
 	period  *namedPeriod
 	periods []*namedPeriod
@@ -109,6 +111,7 @@
 func (en *engine) start(rq *request) {
 	ru := rq.ru
 	en.recordArrival(ru.now, rq.node)
+	rq.reach()
 	rq.sentAt = ru.now
 	en.running[rq] = struct{}{}
 	fresh := en.prefill(&rq.ask)
@@ -121,20 +124,30 @@
 	over := max(0, len(en.running)-slots)
 	first := en.prefillEnd.Sub(ru.now) + tokenTime*time.Duration(1+over*outputTokens/slots) + roundTrip
 	inc := en.incarnation
-	ru.scheduleAfter(first, func() {
-		if _, ok := en.running[rq]; ok && en.incarnation == inc {
-			rq.firstToken()
+	en.schedule(rq, inc, first, rq.firstToken)
+	en.schedule(rq, inc, first+tokenTime*outputTokens, func() { rq.attemptEnded(place.Succeeded) })
+}
+
+// schedule schedules an event of an attempt, later if the server is frozen by then.
+func (en *engine) schedule(rq *request, inc int64, after time.Duration, fire func()) {
+	rq.ru.scheduleAfter(after, func() {
+		if _, ok := en.running[rq]; !ok || en.incarnation != inc {
+			return
 		}
-	})
-	ru.scheduleAfter(first+tokenTime*outputTokens, func() {
-		if _, ok := en.running[rq]; ok && en.incarnation == inc {
-			rq.attemptEnded(place.Succeeded)
+		if left := en.frozenUntil.Sub(rq.ru.now); left > 0 {
+			en.schedule(rq, inc, left, fire)
+			return
 		}
+		fire()
 	})
 }
 
 // firstToken handles the first token, which decides whether the request is in time.
 func (rq *request) firstToken() {
+	if rq.crashesBeforeHead() {
+		return
+	}
+	rq.countBegun()
 	rq.node.fleet.FirstToken(rq.ru.now, rq.engine.id, rq.ticket)
 	rq.passLimitOn()
 	rq.beginStream()
--- a/internal/bench/crowd/node.go
+++ b/internal/bench/crowd/node.go
@@ -185,6 +185,12 @@
 	counts  bool
 	started bool
 	counted bool
+	// guilty is the part by which the request crashes servers, nil if it is sound, and harmless is
+	// set if the current attempt does not.
+	guilty   *guilty
+	harmless bool
+	// begun is what a sound request counts for that begins at its first attempt.
+	begun *int
 }
 
 // bucket returns the counts for the second in which the request arrived.
@@ -206,6 +212,7 @@
 	now := no.ru.now
 	rq.node = no
 	rq.countArrival(no)
+	rq.countSound()
 	late := rq.callerTries > 0 && !no.ru.Naive && now.Sub(rq.at) > firstTokenTarget
 	ok, after := no.pool.Take(now, rq.customer, rq.size(), late)
 	if !ok {
@@ -249,6 +256,10 @@
 	if rq.ru.Load.IgnoreRetryAfter {
 		after = immediateRetryDelay
 	}
+	rq.begun = nil
+	if rq.counted {
+		return
+	}
 	if rq.callerTries > 1 || after > time.Duration(float64(rq.timeLeft())*retryWaitShare) {
 		rq.record(func(co *Counts) *int { return &co.Refused })
 		return
@@ -300,6 +311,11 @@
 	no.permits.Use(no.ru.now, permitServer(&ch.Server))
 	no.inFlight[ch.Server.ID]++
 	rq.engine = no.ru.engineOf(ch.Server.ID)
+	if !rq.engine.isServing(ch.Server.ID) {
+		rq.engine = &engine{id: ch.Server.ID, running: map[*request]struct{}{}}
+		no.ru.scheduleAfter(roundTrip, rq.unreachable)
+		return
+	}
 	rq.engine.start(rq)
 }
 
