crash, relay: requests with a part that crashes servers are refused by all nodes

Callers lost their answers as one server after the other ended under requests with one part in their prompts. Nothing related the requests that were lost in different crashes, and a node alone sees too few of them. Nodes now report to each other which requests they lost with which server and which parts were completed since, each only what the other lacks. A server that answers a later request has not crashed. Servers that end at one moment, or as announced, count little or not at all.

The check stands before a request is admitted, before each retry, and right before the bytes are written. Who has a blocked part is refused with 503, which is true, and when one request may try the part again, at one node.

--- a/internal/bench/crowd/crash.go
+++ b/internal/bench/crowd/crash.go
@@ -1,8 +1,13 @@
 package crowd
 
 import (
+	"encoding/json"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"lycheepick/internal/rule/crash"
+	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/units"
 )
@@ -92,6 +97,9 @@
 	// ones, and those of them that began at the first attempt, before the first crash. After and
 	// BegunAfter count those from 2 x crashContact after the crash that counts for LOST.
 	Before, Begun, After, BegunAfter int
+	// ReportBytes is the size of the reports of crashes that a node sent and got in its worst second,
+	// and ReportMean that in all seconds with any.
+	ReportBytes, ReportMean int
 	// SoundBlocked counts the sound requests that were refused for what they hold, GuiltyBlocked the
 	// guilty ones.
 	SoundBlocked, GuiltyBlocked int
@@ -168,6 +176,7 @@
 		return
 	}
 	rq.guilty.sent = append(rq.guilty.sent, guiltySend{at: rq.ru.now, node: rq.node})
+	rq.beganAt = time.Time{}
 	rq.harmless = rq.ru.rnd.Float64() < rq.guilty.Harmless
 }
 
@@ -221,6 +230,7 @@
 // in mid-stream, and else its caller sends it again.
 func (rq *request) serverCrashed() {
 	rq.attemptEnded(place.Incomplete)
+	rq.recordLoss()
 	if rq.node.down() {
 		return
 	}
@@ -344,6 +354,7 @@
 // crashResult judges the guilty parts.
 func (ru *run) crashResult() {
 	re := &ru.result.Crashes
+	re.countReports(ru.nodes)
 	for _, gu := range ru.guilty {
 		re.Crashes += len(gu.crashes)
 		re.Arrivals += len(gu.sent)
@@ -360,5 +371,65 @@
 	}
 }
 
+// sharedParts returns the parts of the prompt that other requests may have too.
+func (rq *request) sharedParts() []place.BlockID {
+	var out []place.BlockID
+	for _, bl := range rq.ask.Blocks[:len(rq.ask.Blocks)-1] {
+		out = append(out, bl.ID)
+	}
+	return out
+}
+
+// recordLoss records an attempt that its server broke off, unless it had been writing for long.
+func (rq *request) recordLoss() {
+	now := rq.ru.now
+	if rq.engine.leaving || (!rq.beganAt.IsZero() && now.Sub(rq.beganAt) > crash.MaxWriting) {
+		return
+	}
+	sv := permit.Server{ID: rq.engine.id, StartUnixMS: rq.engine.incarnation}
+	rq.node.crashes.Lost(now, sv, crash.Loss{Request: xxhash.Sum64String(string(rq.id)), At: now, Parts: rq.sharedParts()})
+}
+
+// blocks refuses a request that holds a blocked part.
+func (no *node) blocks(rq *request) bool {
+	bl, ok := no.crashes.Blocked(no.ru.now, rq.sharedParts())
+	if !ok || no.ru.Naive {
+		return false
+	}
+	if rq.guilty != nil {
+		no.ru.result.Crashes.GuiltyBlocked++
+	} else {
+		no.ru.result.Crashes.SoundBlocked++
+	}
+	rq.refuse(bl.RetryAfter)
+	return true
+}
+
+// receiveCrashes gets from a peer what this node lacks of crashes.
+func (no *node) receiveCrashes(other *node) {
+	su := no.crashes.Summary(no.ru.now)
+	re := other.crashes.Report(no.ru.now, su)
+	for _, msg := range []any{su, re} {
+		if raw, err := json.Marshal(msg); err == nil && len(raw) > len("{}") {
+			no.reported[no.ru.elapsed()/time.Second] += len(raw)
+			other.reported[no.ru.elapsed()/time.Second] += len(raw)
+		}
+	}
+	no.crashes.Merge(no.ru.now, re)
+}
+
+// countReports adds the sizes of the reports that nodes got.
+func (cr *CrashResult) countReports(nodes []*node) {
+	sum, count := 0, 0
+	for _, no := range nodes {
+		for _, size := range no.reported {
+			cr.ReportBytes = max(cr.ReportBytes, size)
+			sum += size
+			count++
+		}
+	}
+	cr.ReportMean = sum / max(1, count)
+}
+
 // isServing reports whether a server answers.
 func (en *engine) isServing(id units.VMID) bool { return !en.dead && en.id == id }
--- a/internal/bench/crowd/crash_test.go
+++ b/internal/bench/crowd/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -77,13 +78,17 @@
 		if size.nodes > largestFleet {
 			continue
 		}
+		seed := uint64(24)
+		if raw := os.Getenv("CRASH_SEED"); raw != "" {
+			fmt.Sscan(raw, &seed)
+		}
 		for _, cc := range crashCases(size.nodes, size.servers) {
 			t.Run(fmt.Sprintf("%d nodes, %s", size.nodes, cc.name), func(t *testing.T) {
 				t.Parallel()
-				re := crowd.Run(crowd.Setup{Nodes: size.nodes, Servers: size.servers, Unlimited: size.nodes > 8, Load: cc.load, Duration: size.length, Seed: 24})
+				re := crowd.Run(crowd.Setup{Nodes: size.nodes, Servers: size.servers, Unlimited: size.nodes > 8, Load: cc.load, Duration: size.length, Seed: seed})
 				cr := re.Crashes
-				t.Logf("%d of %d requests crashed a server, %d count, %d refused; sound: %d of %d began before, %d of %d after, %d refused for what they hold; %d of %d requests in time",
-					cr.Crashes, cr.Arrivals, cr.Excess, cr.GuiltyBlocked, cr.Begun, cr.Before, cr.BegunAfter, cr.After, cr.SoundBlocked, re.InTime, re.Requests)
+				t.Logf("%d of %d requests crashed a server, %d count, %d refused; sound: %d of %d began before, %d of %d after, %d refused for what they hold; %d of %d requests in time; reports of crashes: %d B in the worst second of a node, %d B in the mean",
+					cr.Crashes, cr.Arrivals, cr.Excess, cr.GuiltyBlocked, cr.Begun, cr.Before, cr.BegunAfter, cr.After, cr.SoundBlocked, re.InTime, re.Requests, cr.ReportBytes, cr.ReportMean)
 				if broken := cr.Broken(); len(broken) > 0 {
 					t.Errorf("have %v broken, want none", broken)
 				}
--- a/internal/bench/crowd/engine.go
+++ b/internal/bench/crowd/engine.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/units"
 )
@@ -125,7 +126,10 @@
 	first := en.prefillEnd.Sub(ru.now) + tokenTime*time.Duration(1+over*outputTokens/slots) + roundTrip
 	inc := en.incarnation
 	en.schedule(rq, inc, first, rq.firstToken)
-	en.schedule(rq, inc, first+tokenTime*outputTokens, func() { rq.attemptEnded(place.Succeeded) })
+	en.schedule(rq, inc, first+tokenTime*outputTokens, func() {
+		rq.attemptEnded(place.Succeeded)
+		rq.node.crashes.Completed(ru.now, rq.sharedParts())
+	})
 }
 
 // schedule schedules an event of an attempt, later if the server is frozen by then.
@@ -148,6 +152,8 @@
 		return
 	}
 	rq.countBegun()
+	rq.beganAt = rq.ru.now
+	rq.node.crashes.Heard(rq.sentAt, permit.Server{ID: rq.engine.id, StartUnixMS: rq.engine.incarnation})
 	rq.node.fleet.FirstToken(rq.ru.now, rq.engine.id, rq.ticket)
 	rq.passLimitOn()
 	rq.beginStream()
--- a/internal/bench/crowd/node.go
+++ b/internal/bench/crowd/node.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lycheepick/internal/rule/admit"
+	"lycheepick/internal/rule/crash"
 	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/pool"
@@ -47,6 +48,10 @@
 	// origins and versions are the state of streams that may be taken up again.
 	origins  *origin.Book
 	versions *origin.Versions
+	// crashes holds the requests that were lost with their servers.
+	crashes *crash.Book
+	// reported holds the bytes of the peers' reports of crashes, by second.
+	reported map[time.Duration]int
 	peers    []units.VMID
 	rounds   uint64
 	// servers and inFlight are the state of a naive node.
@@ -60,7 +65,7 @@
 func nodeID(num int) units.VMID { return units.VMID(fmt.Sprint("node-", num)) }
 
 func (ru *run) newNode(num int) *node {
-	no := &node{ru: ru, id: nodeID(num)}
+	no := &node{ru: ru, id: nodeID(num), reported: map[time.Duration]int{}}
 	no.begin(num, epoch.Add(-warmupTime))
 	return no
 }
@@ -73,6 +78,7 @@
 	no.budget, no.inFlight = retry.NewBudget(retryShare, retryReserve), map[units.VMID]int{}
 	no.permits, no.members, no.asking, no.permitRetry = permit.NewBook(), permit.NewMembers(no.id), map[permit.Server]bool{}, permit.RetryAfter{}
 	no.origins, no.versions = origin.NewBook(), origin.NewVersions()
+	no.crashes = crash.NewBook(uint32(num)<<8 | uint32(no.incarnation))
 	no.peers = nil
 	li := ru.limit()
 	if ru.Naive {
@@ -140,6 +146,7 @@
 		}
 		no.ru.byID[id].receiveFrom(no)
 		no.receiveFrom(no.ru.byID[id])
+		no.receiveCrashes(no.ru.byID[id])
 	}
 	no.rounds++
 	no.ru.scheduleAfter(exchangePeriod, no.exchange)
@@ -189,6 +196,8 @@
 	// set if the current attempt does not.
 	guilty   *guilty
 	harmless bool
+	// beganAt is when the answer of the current attempt began, zero before.
+	beganAt time.Time
 	// begun is what a sound request counts for that begins at its first attempt.
 	begun *int
 }
@@ -213,6 +222,9 @@
 	rq.node = no
 	rq.countArrival(no)
 	rq.countSound()
+	if no.blocks(rq) {
+		return
+	}
 	late := rq.callerTries > 0 && !no.ru.Naive && now.Sub(rq.at) > firstTokenTarget
 	ok, after := no.pool.Take(now, rq.customer, rq.size(), late)
 	if !ok {
@@ -278,6 +290,9 @@
 const maxAsks = 3
 
 func (no *node) trySend(rq *request) {
+	if no.blocks(rq) {
+		return
+	}
 	ch, found := no.choose(rq)
 	if ch.Held != nil && rq.asks < maxAsks && (!found || rq.asks == 0) {
 		rq.asks++
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"lycheepick/internal/rule/crash"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/place"
@@ -38,6 +40,9 @@
 	// KindLimited marks an attempt that was not sent since its server named a limit after it was
 	// chosen.
 	KindLimited Kind = "limited"
+	// KindBlocked marks an attempt that was not sent since requests with a part of its prompt crash
+	// servers, as this node has learned since the server was chosen.
+	KindBlocked Kind = "blocked"
 	// KindErrored marks an attempt for which the server returned an error response.
 	KindErrored Kind = "errored"
 	// KindBroken marks an attempt whose response was truncated or malformed.
@@ -92,6 +97,9 @@
 	// request needs a permit that it doesn't have. It has to be checked right before the request
 	// is sent.
 	Limited func() bool
+	// Blocked reports whether the request has come to be one that is refused. It has to be checked
+	// right before the request is sent.
+	Blocked func() bool
 }
 
 // Reply is the response of a backend server, with the body unread.
@@ -117,7 +125,7 @@
 // Exchange sends one request to backend servers.
 type Exchange interface {
 	// Send sends the request and reads the response header. Its errors are of the kinds
-	// KindNotSent, KindLeaving, KindLimited and KindBroken.
+	// KindNotSent, KindLeaving, KindLimited, KindBlocked and KindBroken.
 	Send(ctx context.Context, at *Attempt) (*Reply, error)
 }
 
@@ -151,6 +159,8 @@
 	// NoOrigin counts streams that were not taken up again since the software version that began
 	// them is not known.
 	NoOrigin atomic.Int64
+	// Blocked counts requests refused since requests with a part of their prompts crash servers.
+	Blocked atomic.Int64
 	// NoPermit counts requests refused under the limits that servers name, PermitsAsked,
 	// PermitsFailed and PermitsIssued the requests for permits, those without an answer, and the
 	// permits that this node issued.
@@ -173,6 +183,8 @@
 	AskPermits func(context.Context, permit.Request) (permit.Grant, error)
 	// Origins keeps where streams began.
 	Origins Origins
+	// OwnsTrials reports whether this node, and no other, may try a blocked part of prompts again.
+	OwnsTrials func(place.BlockID) bool
 
 	draining atomic.Pointer[drainCutoffs]
 	// syncedAt is when the list of servers last matched the store, in Unix nanoseconds.
@@ -187,6 +199,8 @@
 	permits *permit.Book
 	// versions holds the software versions that servers have had.
 	versions *origin.Versions
+	// crashes holds the requests that were lost with their servers.
+	crashes *crash.Book
 	// asks holds the requests for permits in progress; each channel is closed at the end.
 	asks map[permit.Server]chan struct{}
 	// maxWaits holds, by route name, the longest time between a request's arrival and its
@@ -233,7 +247,7 @@
 // New returns a relay without servers and limits; SetServers and SetLimits add them.
 func New(log *zap.Logger, zone units.ZoneID, me Meter, to pool.Tolerance) *Relay {
 	rl := &Relay{
-		Log: log, Zone: zone, Meter: me, fleets: map[units.TargetID]*service{}, pool: pool.New(to), permits: permit.NewBook(), versions: origin.NewVersions(), Origins: newLocalOrigins(), asks: map[permit.Server]chan struct{}{}, maxWaits: map[string]time.Duration{},
+		Log: log, Zone: zone, Meter: me, fleets: map[units.TargetID]*service{}, pool: pool.New(to), permits: permit.NewBook(), versions: origin.NewVersions(), Origins: newLocalOrigins(), OwnsTrials: ownsTrials, crashes: crash.NewBook(rand.Uint32()), asks: map[permit.Server]chan struct{}{}, maxWaits: map[string]time.Duration{},
 		ObserveFirstByte: func(time.Duration) {},
 	}
 	rl.AskPermits = func(_ context.Context, rq permit.Request) (permit.Grant, error) {
@@ -456,7 +470,9 @@
 func (rl *Relay) recordFirstByte(id units.TargetID, pi *picked) {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	rl.service(id).fleet.FirstToken(time.Now(), pi.Server.ID, pi.ticket)
+	now := time.Now()
+	rl.service(id).fleet.FirstToken(now, pi.Server.ID, pi.ticket)
+	rl.crashes.Heard(pi.sent, permitServer(&pi.Server))
 }
 
 func (rl *Relay) recordEnd(id units.TargetID, pi *picked, res place.Result) {
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -59,6 +59,10 @@
 	failure *failure
 	// beganAt is when the response of the current attempt began, zero before.
 	beganAt time.Time
+	// parts are the parts of the prompt that other requests may have too, and trial is set if the
+	// request tries one that is blocked.
+	parts []place.BlockID
+	trial bool
 }
 
 type failure struct {
@@ -74,6 +78,14 @@
 		rl.refuse(rq, sink, fasthttp.StatusServiceUnavailable, "this node is leaving", drainRetryAfter)
 		return
 	}
+	ru := &run{
+		rl: rl, rq: rq, ex: ex, sink: sink, lastEvent: rq.LastEvent, parts: sharedParts(rq.PrefixBlocks),
+		machine: answer.New(rq.Route.RetryPolicy != routes.AtMostOnce, maxSends),
+		ask:     place.Request{Blocks: rq.PrefixBlocks, Prompt: rq.PromptTokens, Zone: rl.Zone},
+	}
+	if ru.refuseBlocked() {
+		return
+	}
 	if ok, after := rl.admit(time.Now(), rq); !ok {
 		rl.Counts.Limited.Add(1)
 		rl.logLimit(rq)
@@ -83,11 +95,6 @@
 	rl.recordFirstAttempt(rq.Service)
 	ctx, cancel := context.WithDeadline(ctx, rq.Deadline)
 	defer cancel()
-	ru := &run{
-		rl: rl, rq: rq, ex: ex, sink: sink, lastEvent: rq.LastEvent,
-		machine: answer.New(rq.Route.RetryPolicy != routes.AtMostOnce, maxSends),
-		ask:     place.Request{Blocks: rq.PrefixBlocks, Prompt: rq.PromptTokens, Zone: rl.Zone},
-	}
 	ru.machine.Accept()
 	if rq.LastEvent == "" || ru.locate(ctx) {
 		ru.loop(ctx)
@@ -130,7 +137,7 @@
 		err := ru.attempt(ctx, &pi)
 		ru.settle(att, &pi, err)
 		if isLost(err) {
-			ru.logLost(&pi)
+			ru.recordLost(&pi)
 		}
 		if err == nil {
 			ru.finish(nil)
@@ -271,6 +278,10 @@
 	case fault.Is(err, KindCallerGone):
 		ru.rl.Counts.Gone.Add(1)
 		ru.log("caller_gone", err.Error(), 0)
+	case state == answer.NotRun && fault.Is(err, KindBlocked):
+		bl, _ := ru.rl.blocked(ru.parts)
+		ru.rl.Counts.Blocked.Add(1)
+		ru.rl.refuse(ru.rq, ru.sink, blockedStatus, blockedReason, max(noServerRetryAfter, bl.RetryAfter))
 	case state == answer.NotRun:
 		ru.rl.refuse(ru.rq, ru.sink, fasthttp.StatusServiceUnavailable, err.Error(), noServerRetryAfter)
 	case fault.Is(err, KindDeadline):
@@ -286,6 +297,9 @@
 	if ctx.Err() != nil || time.Until(ru.rq.Deadline) < minRetryTime || fault.Is(err, KindCallerGone) || fault.Is(err, KindDeadline) {
 		return false
 	}
+	if ru.trial || ru.isBlocked() {
+		return false
+	}
 	if !ru.machine.CanDispatch() || runs >= ru.rq.Route.MaxAttempts || (ru.sink.Started() && ru.rq.Route.RetryPolicy != routes.Resumable) {
 		return false
 	}
@@ -313,7 +327,7 @@
 		res = ru.result
 	case fault.Is(err, KindRefused):
 		res, evidence = place.Refused, answer.Refused
-	case fault.Is(err, KindLeaving), fault.Is(err, KindLimited):
+	case fault.Is(err, KindLeaving), fault.Is(err, KindLimited), fault.Is(err, KindBlocked):
 		res, evidence = place.Canceled, answer.NotSent
 	case fault.Is(err, KindNotSent):
 		evidence = answer.NotSent
@@ -323,6 +337,9 @@
 		res = place.Canceled
 	}
 	ru.rl.recordEnd(ru.rq.Service, pi, res)
+	if err == nil || fault.Is(err, KindErrored) {
+		ru.recordCompleted()
+	}
 	if err == nil {
 		ru.machine.Finish(att, 0)
 		return
@@ -350,6 +367,7 @@
 		Server: pi.Server, Deadline: ru.rq.Deadline, Priority: ru.rq.Priority, LastEvent: ru.lastEvent,
 		Leaving: func() bool { return ru.rl.isLeaving(&pi.Server) },
 		Limited: func() bool { return !pi.limited && ru.rl.isLimited(&pi.Server) },
+		Blocked: ru.isBlocked,
 	})
 	if err != nil {
 		return ru.why(callerCtx, ctx, err)
@@ -395,5 +413,5 @@
 
 // isNotSent reports whether no byte of an attempt can have reached its server.
 func isNotSent(err error) bool {
-	return fault.Is(err, KindNotSent) || fault.Is(err, KindLeaving) || fault.Is(err, KindLimited)
+	return fault.Is(err, KindNotSent) || fault.Is(err, KindLeaving) || fault.Is(err, KindLimited) || fault.Is(err, KindBlocked)
 }
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -149,7 +149,7 @@
 		Window: set.Limits.Window(), Share: set.Limits.QuotaShare, Fixed: set.Limits.QuotaFixed,
 	})
 	no.origins = newOrigins(no)
-	no.relay.AskPermits, no.relay.Origins = no.askPermits, no.origins
+	no.relay.AskPermits, no.relay.Origins, no.relay.OwnsTrials = no.askPermits, no.origins, no.ownsTrials
 	no.relay.ObserveFirstByte = func(du time.Duration) { no.firstByte.Update(du.Microseconds()) }
 	handler := pf.Handler(func() *routes.Config {
 		if fo := no.config.Load(); fo != nil {
@@ -283,6 +283,7 @@
 		changed := no.servers.Tick(now)
 		no.usageBook.Prune(no.clock.Now(no.uptime()))
 		no.mu.Unlock()
+		no.relay.UpdateCrashes(now)
 		if changed {
 			no.publishServers("held_back_removal")
 		}
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -209,7 +209,7 @@
 	if wantConfig == pulse.ConfigDeflate {
 		defer no.endConfigFetch()
 	}
-	rq := &pulse.Request{Report: no.report(), WantServers: no.wantsServers(id), WantConfig: wantConfig}
+	rq := &pulse.Request{Report: no.report(), WantServers: no.wantsServers(id), WantConfig: wantConfig, Crashes: no.relay.CrashSummary(asked)}
 	re, err := client.Exchange(ctx, addr, rq)
 	if err != nil {
 		no.mu.Lock()
@@ -222,6 +222,7 @@
 		return false
 	}
 	no.applyReport(&re.Report)
+	no.relay.ApplyCrashReport(time.Now(), re.Crashes)
 	no.applyPeerConfig(re)
 	no.applyServers(re, asked)
 	return wantConfig == pulse.ConfigNone && no.canFetchConfig(re.Config)
@@ -402,7 +403,7 @@
 // configuration and the server records that the peer lacks.
 func (no *Node) Exchange(rq *pulse.Request) *pulse.Reply {
 	no.applyReport(&rq.Report)
-	out := &pulse.Reply{Report: no.report()}
+	out := &pulse.Reply{Report: no.report(), Crashes: no.relay.CrashReport(time.Now(), rq.Crashes)}
 	if fo := no.config.Load(); fo.version() > rq.Config {
 		no.addConfig(out, fo, rq.WantConfig)
 	}
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -18,6 +18,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"lycheepick/internal/plat/stream"
+	"lycheepick/internal/rule/crash"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/place"
@@ -121,6 +122,8 @@
 	// on.
 	WantServers bool          `json:"want_servers,omitempty"`
 	WantConfig  ConfigRequest `json:"want_config,omitempty"`
+	// Crashes is what the caller knows of crashes.
+	Crashes crash.Summary `json:"crashes,omitzero"`
 }
 
 // Reply is the answer to a Request, with the replying node's own report.
@@ -137,6 +140,8 @@
 	// have been removed.
 	Complete bool `json:"whole,omitempty"`
 	Snapshot bool `json:"listing,omitempty"`
+	// Crashes is what the caller lacks of crashes.
+	Crashes crash.Report `json:"crashes,omitzero"`
 }
 
 // PermitReply answers a permit.Request. If another node issues the server's permits, Issuer is
