--- a/internal/rule/crash/crash.go
+++ b/internal/rule/crash/crash.go
@@ -85,14 +85,12 @@
 // record is what is known of one incarnation of a server.
 type record struct {
 	server permit.Server
-	losses map[uint64]*loss
+	losses map[uint64]Loss
 	// heardAt is the latest time at which the server is known to have served, and heardNews that of
 	// the latest loss which it survived, zero if there is none.
 	heardAt, heardNews time.Time
 }
 
-type loss struct{ Loss }
-
 // completion is an attempt with a part that its server completed.
 type completion struct {
 	id uint64
@@ -141,13 +139,13 @@
 	out := slices.Clone(parts)
 	slices.Sort(out)
 	out = slices.Compact(out)
-	return out[:min(len(out), maxParts)]
+	return slices.Clone(out[:min(len(out), maxParts)])
 }
 
 func (bo *Book) record(sv permit.Server) *record {
 	re := bo.crashes[sv]
 	if re == nil {
-		re = &record{server: sv, losses: map[uint64]*loss{}}
+		re = &record{server: sv, losses: map[uint64]Loss{}}
 		bo.crashes[sv] = re
 	}
 	return re
@@ -158,15 +156,11 @@
 		return
 	}
 	re := bo.record(sv)
-	if re.losses[lo.Request] != nil || len(re.losses) >= maxLosses || re.survived(lo.At) {
+	if _, known := re.losses[lo.Request]; known || len(re.losses) >= maxLosses || re.survived(lo.At) {
 		return
 	}
-	re.losses[lo.Request] = &loss{Loss: lo}
-	for _, id := range lo.Parts {
-		if !slices.Contains(bo.byPart[id], re) {
-			bo.byPart[id] = append(bo.byPart[id], re)
-		}
-	}
+	re.losses[lo.Request] = lo
+	bo.index(re, lo)
 	bo.changed = true
 	if at := lo.At.Add(settleTime + judgePeriod); at.After(bo.unsettledUntil) {
 		bo.unsettledUntil = at
@@ -186,10 +180,14 @@
 	re.heardAt = at
 	for id, lo := range re.losses {
 		if re.survived(lo.At) {
+			bo.unindex(re)
 			delete(re.losses, id)
 			re.heardNews, bo.changed = lo.At, true
 		}
 	}
+	for _, lo := range re.losses {
+		bo.index(re, lo)
+	}
 }
 
 // Completed records that a server completed a request. Parts that no crash is under are left out.
@@ -234,21 +232,25 @@
 		}
 	}
 	var open []*record
-	for sv, re := range bo.crashes {
+	for _, re := range bo.crashes {
 		age := now.Sub(re.latest())
 		switch {
 		case resting[re] && age <= longMemory:
 		case age > memory || (age > reportTime && bo.explained(re)):
-			delete(bo.crashes, sv)
+			bo.forget(re)
 		default:
 			open = append(open, re)
 		}
 	}
 	slices.SortFunc(open, func(one, two *record) int { return two.latest().Compare(one.latest()) })
 	for _, re := range open[min(len(open), maxOpen):] {
-		delete(bo.crashes, re.server)
+		bo.forget(re)
 	}
-	bo.index()
+}
+
+func (bo *Book) forget(re *record) {
+	bo.unindex(re)
+	delete(bo.crashes, re.server)
 }
 
 // explained reports whether a request that was lost in a crash has a blocked part.
@@ -285,21 +287,25 @@
 	return at
 }
 
-// index rebuilds byPart, and forgets the completions with other parts.
-func (bo *Book) index() {
-	clear(bo.byPart)
-	for _, re := range bo.crashes {
-		for _, lo := range re.losses {
-			for _, id := range lo.Parts {
-				if !slices.Contains(bo.byPart[id], re) {
-					bo.byPart[id] = append(bo.byPart[id], re)
-				}
-			}
+// index enters a loss in byPart.
+func (bo *Book) index(re *record, lo Loss) {
+	for _, id := range lo.Parts {
+		if !slices.Contains(bo.byPart[id], re) {
+			bo.byPart[id] = append(bo.byPart[id], re)
 		}
 	}
-	for id := range bo.completed {
-		if bo.byPart[id] == nil {
-			delete(bo.completed, id)
+}
+
+// unindex removes a record from byPart, and forgets the completions with parts that no crash is
+// under any more.
+func (bo *Book) unindex(re *record) {
+	for _, lo := range re.losses {
+		for _, id := range lo.Parts {
+			list := slices.DeleteFunc(bo.byPart[id], func(have *record) bool { return have == re })
+			if bo.byPart[id] = list; len(list) == 0 {
+				delete(bo.byPart, id)
+				delete(bo.completed, id)
+			}
 		}
 	}
 }
--- /dev/null
+++ b/internal/rule/crash/crash_test.go
@@ -0,0 +1,294 @@
+package crash_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"lycheepick/internal/rule/crash"
+	"lycheepick/internal/rule/permit"
+	"lycheepick/internal/rule/place"
+	"lycheepick/internal/rule/units"
+)
+
+const (
+	ms = time.Millisecond
+	// guilty is the part that crashes servers in these tests, shared and topic are sound ones.
+	shared, topic, guilty place.BlockID = 1, 2, 3
+)
+
+// log is a book with a clock, and numbers for servers and requests.
+type log struct {
+	*crash.Book
+	now              time.Time
+	servers, request int
+}
+
+func newLog(node uint32) *log {
+	return &log{Book: crash.NewBook(node), now: time.Unix(1_000_000, 0)}
+}
+
+func (lo *log) after(du time.Duration) *log {
+	lo.now = lo.now.Add(du)
+	return lo
+}
+
+func server(num int) permit.Server {
+	return permit.Server{ID: units.VMID(fmt.Sprint("server-", num)), StartUnixMS: 1}
+}
+
+// crash loses a request with each of these prompts in one crash.
+func (lo *log) crash(prompts ...[]place.BlockID) *log {
+	lo.servers++
+	for _, parts := range prompts {
+		lo.request++
+		lo.Lost(lo.now, server(lo.servers), crash.Loss{Request: uint64(lo.request), At: lo.now, Parts: parts})
+	}
+	return lo
+}
+
+func (lo *log) crashes(count int, gap time.Duration, prompts ...[]place.BlockID) *log {
+	for range count {
+		lo.after(gap).crash(prompts...)
+	}
+	return lo
+}
+
+func (lo *log) complete(parts ...place.BlockID) *log {
+	lo.Completed(lo.now, parts)
+	return lo
+}
+
+func (lo *log) blocks(part place.BlockID) bool {
+	_, ok := lo.Blocked(lo.now, []place.BlockID{part})
+	return ok
+}
+
+func prompt(parts ...place.BlockID) []place.BlockID { return parts }
+
+// TestVerdicts checks which parts are blocked after crashes.
+func TestVerdicts(t *testing.T) {
+	const settle = 1500 * ms
+	for _, tt := range []struct {
+		name   string
+		play   func(*log)
+		blocks []place.BlockID
+	}{
+		{"four crashes", func(lo *log) { lo.crashes(4, 300*ms, prompt(shared, guilty)).after(settle) }, prompt(guilty)},
+		{"three crashes", func(lo *log) { lo.crashes(3, 300*ms, prompt(shared, guilty)).after(settle) }, nil},
+		{"before others can have reported", func(lo *log) { lo.crashes(4, 300*ms, prompt(shared, guilty)).after(500 * ms) }, nil},
+		{"the first part", func(lo *log) {
+			for num := range 4 {
+				lo.after(300 * ms).crash(prompt(guilty, place.BlockID(10+num)))
+			}
+			lo.after(settle)
+		}, prompt(guilty)},
+		{"sound requests on the same servers", func(lo *log) {
+			lo.crashes(5, 300*ms, prompt(shared, topic), prompt(shared, guilty), prompt(shared, topic)).after(settle)
+		}, prompt(guilty)},
+		{"completions with a part", func(lo *log) {
+			for range 6 {
+				lo.after(300 * ms).crash(prompt(shared, topic)).after(100 * ms).complete(shared, topic)
+			}
+			lo.after(settle)
+		}, nil},
+		{"some requests crash no server", func(lo *log) {
+			lo.crashes(2, 300*ms, prompt(guilty)).after(1200*ms).complete(guilty).after(2100 * ms)
+			lo.crashes(3, 300*ms, prompt(guilty)).after(settle)
+		}, prompt(guilty)},
+		{"a completion ends a verdict", func(lo *log) {
+			lo.crashes(4, 300*ms, prompt(topic)).after(settle).complete(topic)
+			lo.after(200 * ms)
+		}, nil},
+		{"servers that end at one moment", func(lo *log) {
+			lo.crashes(9, 5*ms, prompt(shared, topic)).after(settle)
+		}, nil},
+		{"servers that serve afterwards", func(lo *log) {
+			lo.crashes(6, 300*ms, prompt(topic)).after(500 * ms)
+			for num := range 4 {
+				lo.Heard(lo.now, server(num+1))
+			}
+			lo.after(settle)
+		}, nil},
+		{"two guilty parts at once", func(lo *log) {
+			lo.crashes(3, 200*ms, prompt(shared, guilty)).complete(shared).crashes(3, 200*ms, prompt(shared, topic)).complete(shared).crashes(2, 200*ms, prompt(shared, guilty), prompt(shared, topic))
+			lo.after(settle)
+		}, prompt(guilty, topic)},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			lo := newLog(1)
+			tt.play(lo)
+			want := map[place.BlockID]bool{}
+			for _, id := range tt.blocks {
+				want[id] = true
+			}
+			for _, id := range prompt(shared, topic, guilty) {
+				if have := lo.blocks(id); have != want[id] {
+					t.Errorf("part %d: have blocked %t, want %t", id, have, want[id])
+				}
+			}
+		})
+	}
+}
+
+// tell lets a node learn from another what it lacks.
+func (lo *log) tell(to *log) {
+	to.Merge(to.now, lo.Report(lo.now, to.Summary(to.now)))
+}
+
+// TestNodesAgree checks that nodes that have seen one crash each come to the same verdict, that one
+// which starts later learns of it, and that a report holds only what is lacking.
+func TestNodesAgree(t *testing.T) {
+	var nodes []*log
+	for num := range 5 {
+		nodes = append(nodes, newLog(uint32(num)))
+	}
+	start := nodes[0].now
+	for num, lo := range nodes {
+		lo.servers, lo.request = 10*num, 10*num
+		lo.after(time.Duration(num+1) * 200 * ms).crash(prompt(shared, guilty))
+	}
+	tell := func(at time.Duration) {
+		for _, lo := range nodes {
+			lo.now = start.Add(at)
+		}
+		for _, from := range nodes {
+			for _, to := range nodes {
+				from.tell(to)
+			}
+		}
+	}
+	tell(1100 * ms)
+	tell(2500 * ms)
+	for num, lo := range nodes {
+		if !lo.blocks(guilty) || lo.blocks(shared) {
+			t.Errorf("node %d: have %t for the guilty part and %t for the shared one, want only the first blocked", num, lo.blocks(guilty), lo.blocks(shared))
+		}
+	}
+	if re := nodes[0].Report(nodes[0].now, nodes[1].Summary(nodes[1].now)); len(re.Servers)+len(re.Completed) > 0 {
+		t.Errorf("have %+v for a peer that knows all, want nothing", re)
+	}
+	late := newLog(9)
+	late.now = start.Add(time.Minute)
+	nodes[0].now = late.now
+	nodes[0].tell(late)
+	late.after(200 * ms)
+	if !late.blocks(guilty) || late.blocks(shared) {
+		t.Errorf("a node that starts later: have %t for the guilty part and %t for the shared one, want only the first blocked", late.blocks(guilty), late.blocks(shared))
+	}
+}
+
+// TestTrials checks when one request may try a blocked part, and what ends the verdict.
+func TestTrials(t *testing.T) {
+	lo := newLog(1)
+	lo.crashes(5, 300*ms, prompt(shared, guilty)).after(1500 * ms)
+	parts := prompt(shared, guilty)
+	bl, ok := lo.Blocked(lo.now, parts)
+	if !ok || bl.Part != guilty || bl.RetryAfter < 25*time.Second || bl.RetryAfter > 30*time.Second {
+		t.Fatalf("have %+v, %t, want the guilty part blocked for half a minute", bl, ok)
+	}
+	if lo.Try(lo.now, parts) {
+		t.Error("a request may try the part at once")
+	}
+	lo.after(30 * time.Second)
+	if !lo.Try(lo.now, parts) || lo.Try(lo.now, parts) {
+		t.Error("want one request that may try the part")
+	}
+	lo.after(300 * ms).crash(parts).after(1500 * ms)
+	if bl, _ := lo.Blocked(lo.now, parts); bl.RetryAfter < time.Minute {
+		t.Errorf("have %s after another crash, want a minute or more", bl.RetryAfter)
+	}
+	for trial := 0; lo.blocks(guilty); trial++ {
+		if lo.after(100 * time.Second); !lo.Try(lo.now, parts) || trial > 3 {
+			t.Fatalf("trial %d: want it allowed, and three completions to end the verdict", trial)
+		}
+		lo.complete(parts...).after(200 * ms)
+	}
+	if lo.after(2 * time.Hour); lo.blocks(guilty) {
+		t.Error("have the part blocked without a crash for hours")
+	}
+}
+
+// TestHostilePromptsAreBounded checks the bounds of memory and of reports when requests with a great
+// many parts crash servers without end.
+func TestHostilePromptsAreBounded(t *testing.T) {
+	lo := newLog(1)
+	before := heapInUse()
+	next := place.BlockID(1000)
+	for range 2000 {
+		var prompts [][]place.BlockID
+		for range 100 {
+			parts := make([]place.BlockID, 300)
+			for idx := range parts {
+				next++
+				parts[idx] = next
+			}
+			prompts = append(prompts, parts)
+		}
+		lo.after(20 * ms).crash(prompts...)
+		lo.Blocked(lo.now, nil)
+	}
+	used := heapInUse() - before
+	t.Logf("%d KB for 200000 lost requests with 300 parts each", used>>10)
+	if used > 8<<20 {
+		t.Errorf("have %d bytes in use, want 8 MB or less", used)
+	}
+	sent := 0
+	for range 200 { // Eight seconds of exchanges at a node that all ask.
+		lo.after(40 * ms)
+		raw, err := json.Marshal(lo.Report(lo.now, crash.Summary{}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		sent += len(raw)
+	}
+	t.Logf("%d B/s of reports", sent/8)
+	if sent/8 > 24<<10 {
+		t.Errorf("have %d bytes of reports a second, want 24 KB or less", sent/8)
+	}
+	runtime.KeepAlive(lo)
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	var st runtime.MemStats
+	runtime.ReadMemStats(&st)
+	return int64(st.HeapAlloc)
+}
+
+// FuzzMerge checks that any report is merged without a panic.
+func FuzzMerge(f *testing.F) {
+	lo := newLog(1)
+	lo.crashes(4, 300*ms, prompt(shared, guilty))
+	raw, err := json.Marshal(lo.Report(lo.now, crash.Summary{}))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Add([]byte(`{"servers":[{"server":"a","heard_age":-1,"lost":"AAAA"}],"completed":"AAAAAAAAAAAAAAAAAAAAAA=="}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var re crash.Report
+		if json.Unmarshal(raw, &re) != nil {
+			return
+		}
+		to := newLog(2)
+		to.crash(prompt(shared))
+		to.Merge(to.now, re)
+		to.after(2 * time.Second).blocks(guilty)
+		to.Report(to.now, to.Summary(to.now))
+	})
+}
+
+func ExampleBook_Blocked() {
+	bo, now := crash.NewBook(1), time.Unix(0, 0)
+	for num := range 4 {
+		now = now.Add(time.Second)
+		bo.Lost(now, server(num), crash.Loss{Request: uint64(num), At: now, Parts: prompt(shared, guilty)})
+	}
+	now = now.Add(2 * time.Second)
+	bl, blocked := bo.Blocked(now, prompt(topic, guilty))
+	fmt.Println(blocked, bl.Part, bl.RetryAfter)
+	// Output: true 3 28s
+}
--- a/internal/rule/crash/report.go
+++ b/internal/rule/crash/report.go
@@ -124,7 +124,7 @@
 			sv.HeardAge = now.Sub(rc.heardAt)
 		}
 		for _, lo := range rc.losses {
-			sv.Lost = appendLoss(sv.Lost, now, &lo.Loss)
+			sv.Lost = appendLoss(sv.Lost, now, &lo)
 		}
 		bytes -= len(sv.Lost) + len(sv.ID)
 		re.Servers = append(re.Servers, sv)
