relay: the log line of lost attempts says by which hash a request is known again

Attempts of one request that comes again have different ids, and nothing in the lines told that they were the same.

--- a/internal/edge/relay/crashes.go
+++ b/internal/edge/relay/crashes.go
@@ -54,7 +54,7 @@
 		writing = time.Since(ru.beganAt)
 	}
 	ru.rl.Log.Info("attempt_lost", zap.String("request", string(ru.rq.ID)), zap.String("server", string(pi.Server.ID)),
-		zap.Int("send", ru.sends), zap.Uint32s("parts", partNumbers(ru.parts)), zap.Duration("took", time.Since(pi.sent)),
+		zap.Int("send", ru.sends), zap.Uint32s("parts", partNumbers(ru.parts)), zap.Uint64("content", ru.rq.Content), zap.Duration("took", time.Since(pi.sent)),
 		zap.Duration("writing", writing))
 	if writing > crash.MaxWriting || ru.rl.isLeaving(&pi.Server) {
 		return
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -61,6 +61,9 @@
 // Request is one request, independent of the client protocol.
 type Request struct {
 	ID units.RequestID
+	// Content is a hash of the caller, the path and the body, by which a request that comes again
+	// is known.
+	Content uint64
 	// Config is the version of the configuration that the request is served under.
 	Config units.Version
 	Route  *routes.Route
--- a/internal/rule/crash/crash_test.go
+++ b/internal/rule/crash/crash_test.go
@@ -90,12 +90,12 @@
 		}, prompt(guilty)},
 		{"completions with a part", func(lo *log) {
 			for range 6 {
-				lo.after(300 * ms).crash(prompt(shared, topic)).after(100 * ms).complete(shared, topic)
+				lo.after(300*ms).crash(prompt(shared, topic)).after(100*ms).complete(shared, topic)
 			}
 			lo.after(settle)
 		}, nil},
 		{"some requests crash no server", func(lo *log) {
-			lo.crashes(2, 300*ms, prompt(guilty)).after(1200*ms).complete(guilty).after(2100 * ms)
+			lo.crashes(2, 300*ms, prompt(guilty)).after(1200 * ms).complete(guilty).after(2100 * ms)
 			lo.crashes(3, 300*ms, prompt(guilty)).after(settle)
 		}, prompt(guilty)},
 		{"a completion ends a verdict", func(lo *log) {
@@ -268,7 +268,7 @@
 	}
 	f.Add(raw)
 	f.Add([]byte(`{"servers":[{"server":"a","heard_age":-1,"lost":"AAAA"}],"completed":"AAAAAAAAAAAAAAAAAAAAAA=="}`))
-	f.Fuzz(func(t *testing.T, raw []byte) {
+	f.Fuzz(func(_ *testing.T, raw []byte) {
 		var re crash.Report
 		if json.Unmarshal(raw, &re) != nil {
 			return
