--- a/internal/bench/crowd/crash.go
+++ b/internal/bench/crowd/crash.go
@@ -15,13 +15,16 @@
 // Crashes describes how servers crash.
 type Crashes struct {
 	Parts []GuiltyPart
+	// Requests are requests that come again and again. Their Place is not used.
+	Requests []GuiltyPart
 	// Alone are crashes and freezes of servers that no request causes.
 	Alone []ServerFault
 	// Resets are times at which all connections of a node to servers break.
 	Resets []Reset
 }
 
-// GuiltyPart is a part of prompts that crashes each server which begins to answer on it.
+// GuiltyPart is a part of prompts, or a whole request, that crashes each server which begins to
+// answer on it.
 type GuiltyPart struct {
 	From, To time.Duration
 	// Rate is the number of requests a second with the part.
@@ -49,10 +52,12 @@
 
 // The bounds of the platform's rules BUDGET and LOST for parts that crash servers: no more than
 // crashSlack requests with the part reach servers, sent by nodes in touch later than crashContact
-// after the crash number maxCrashes. From twice that time on, sound requests begin at the first
+// after the crash number maxCrashes. For a request that comes again it is the crash number
+// maxRepeats. From twice that time on, sound requests begin at the first
 // attempt at least soundRatio times as often as before, of soundRequests or more.
 const (
 	maxCrashes    = 5
+	maxRepeats    = 3
 	crashSlack    = 3
 	crashContact  = 3 * time.Second
 	soundRequests = 20
@@ -74,10 +79,12 @@
 // guilty is the state of a guilty part, or of a request that crashes servers.
 type guilty struct {
 	GuiltyPart
-	id      place.BlockID
-	crashes []time.Time
-	sent    []guiltySend
-	lastAt  time.Time
+	id place.BlockID
+	// repeated is the request that comes again, nil for a part.
+	repeated *request
+	crashes  []time.Time
+	sent     []guiltySend
+	lastAt   time.Time
 }
 
 // guiltySend is one request that reached a server.
@@ -126,6 +133,13 @@
 		ru.guilty = append(ru.guilty, gu)
 		ru.scheduleAt(part.From, func() { ru.arriveGuilty(gu) })
 	}
+	for _, part := range ru.Load.Crashes.Requests {
+		gu := &guilty{GuiltyPart: part}
+		gu.repeated = ru.newRequest(1)
+		gu.repeated.customer = customerID(0)
+		ru.guilty = append(ru.guilty, gu)
+		ru.scheduleAt(part.From, func() { ru.arriveGuilty(gu) })
+	}
 	for _, fa := range ru.Load.Crashes.Alone {
 		for num := fa.First; num <= fa.Last; num++ {
 			ru.scheduleAt(fa.At, func() { ru.engines[num].fail(ru, fa.For) })
@@ -147,8 +161,14 @@
 	ru.arrivalNode().serve(rq)
 }
 
-// newGuiltyRequest returns a request that shares its customer and its other parts with sound ones.
+// newGuiltyRequest returns a request that shares its customer and its other parts with sound ones,
+// or the one that comes again.
 func (ru *run) newGuiltyRequest(gu *guilty) *request {
+	if first := gu.repeated; first != nil {
+		rq := &request{ru: ru, at: ru.now, customer: first.customer, guilty: gu, counted: true, ask: first.ask}
+		rq.setID()
+		return rq
+	}
 	topic := preambles * ru.rnd.IntN(topicsPerServer*ru.Servers/preambles)
 	ru.lastUnique++
 	blocks := []place.Block{
@@ -325,13 +345,21 @@
 		if first.IsZero() || gu.crashes[0].Before(first) {
 			first = gu.crashes[0]
 		}
-		if at := gu.crashes[min(len(gu.crashes), maxCrashes)-1]; at.After(counts) {
+		if at := gu.crashes[min(len(gu.crashes), gu.bound())-1]; at.After(counts) {
 			counts = at
 		}
 	}
 	return first, counts
 }
 
+// bound returns the number of the crash after which requests count for BUDGET.
+func (gu *guilty) bound() int {
+	if gu.repeated != nil {
+		return maxRepeats
+	}
+	return maxCrashes
+}
+
 // lastGuilty returns the end of the time in which guilty requests come.
 func (ru *run) lastGuilty() time.Time {
 	var last time.Time
@@ -358,10 +386,10 @@
 	for _, gu := range ru.guilty {
 		re.Crashes += len(gu.crashes)
 		re.Arrivals += len(gu.sent)
-		if len(gu.crashes) < maxCrashes {
+		if len(gu.crashes) < gu.bound() {
 			continue
 		}
-		from, excess := gu.crashes[maxCrashes-1].Add(crashContact), 0
+		from, excess := gu.crashes[gu.bound()-1].Add(crashContact), 0
 		for _, se := range gu.sent {
 			if se.at.After(from) && !se.node.excused(se.at) {
 				excess++
--- a/internal/bench/crowd/crash_test.go
+++ b/internal/bench/crowd/crash_test.go
@@ -68,9 +68,8 @@
 	}
 }
 
-// TestPartCrashesServers checks the platform's rules BUDGET and LOST for parts of prompts that crash
-// servers, and that sound requests are refused for nothing.
-func TestPartCrashesServers(t *testing.T) {
+// checkCrashes runs the cases and judges BUDGET, LOST, and whether sound requests are refused.
+func checkCrashes(t *testing.T, cases func(nodes, servers int) []crashCase) {
 	for _, size := range []struct {
 		nodes, servers int
 		length         time.Duration
@@ -80,9 +79,11 @@
 		}
 		seed := uint64(24)
 		if raw := os.Getenv("CRASH_SEED"); raw != "" {
-			fmt.Sscan(raw, &seed)
+			if _, err := fmt.Sscan(raw, &seed); err != nil {
+				t.Fatal(err)
+			}
 		}
-		for _, cc := range crashCases(size.nodes, size.servers) {
+		for _, cc := range cases(size.nodes, size.servers) {
 			t.Run(fmt.Sprintf("%d nodes, %s", size.nodes, cc.name), func(t *testing.T) {
 				t.Parallel()
 				re := crowd.Run(crowd.Setup{Nodes: size.nodes, Servers: size.servers, Unlimited: size.nodes > 8, Load: cc.load, Duration: size.length, Seed: seed})
@@ -95,10 +96,48 @@
 				if cr.SoundBlocked > 0 {
 					t.Errorf("have %d sound requests refused for what they hold, want none", cr.SoundBlocked)
 				}
-				if len(cc.load.Crashes.Parts) > 0 && cr.Crashes < 3 {
+				if len(cc.load.Crashes.Parts)+len(cc.load.Crashes.Requests) > 0 && cr.Crashes < 3 {
 					t.Errorf("have %d crashes, want 3 or more", cr.Crashes)
 				}
 			})
 		}
 	}
 }
+
+// TestPartCrashesServers checks the platform's rules BUDGET and LOST for parts of prompts that crash
+// servers, and that sound requests are refused for nothing.
+func TestPartCrashesServers(t *testing.T) { checkCrashes(t, crashCases) }
+
+// repeatCases are fleets to which a request comes again that crashes servers.
+func repeatCases(nodes, servers int) []crashCase {
+	byPart := map[string]crowd.Load{}
+	for _, cc := range crashCases(nodes, servers) {
+		byPart[cc.name] = cc.load
+	}
+	early, seldom, slow, fast, late := part(3, 0), part(3, 0), part(0.7, 0), part(12, 0), part(1, 0)
+	early.BeforeHead, late.BeforeHead, seldom.Harmless = true, true, 0.15
+	requests := func(list ...crowd.GuiltyPart) crowd.Load {
+		return crowd.Load{Crashes: crowd.Crashes{Requests: list}}
+	}
+	faults := requests(part(3, 0))
+	faults.Faults = byPart["nodes stop, freeze, join and are cut off"].Faults
+	others := byPart["beside crashes, freezes, cuts and reclaims"]
+	others.Crashes.Requests, others.Crashes.Parts = []crowd.GuiltyPart{early}, nil
+	both := requests(early, part(2, 0))
+	both.Crashes.Parts = []crowd.GuiltyPart{part(2, 1)}
+	return []crashCase{
+		{"in mid-stream", requests(part(3, 0))},
+		{"before the head", requests(early)},
+		{"sometimes not at all", requests(seldom)},
+		{"seldom", requests(slow)},
+		{"often", requests(fast)},
+		{"three requests", requests(part(2, 0), late, early)},
+		{"two requests and a part", both},
+		{"nodes stop, freeze, join and are cut off", faults},
+		{"beside crashes, freezes, cuts and reclaims", others},
+	}
+}
+
+// TestRequestCrashesServers checks the platform's rule BUDGET for requests that come again and crash
+// each server that runs them.
+func TestRequestCrashesServers(t *testing.T) { checkCrashes(t, repeatCases) }
