crash, relay: a request that comes again and crashes servers is refused by all nodes

Callers lost their answers as servers ended under one request that came again at any node, each time as a new one. The class is that of the parts: what requests have in common was not kept past the request. The checks stand where those of the parts do. A part is not blocked for the crashes under one request alone, and a request that explains a crash clears those that only shared the server.

--- a/internal/bench/crowd/crash.go
+++ b/internal/bench/crowd/crash.go
@@ -408,6 +408,11 @@
 	return out
 }
 
+// content stands for the caller, the path and the body, which the last block of the prompt does here.
+func (rq *request) content() uint64 { return uint64(rq.ask.Blocks[len(rq.ask.Blocks)-1].ID) }
+
+func (rq *request) keys() []crash.Key { return crash.Keys(rq.content(), rq.sharedParts()) }
+
 // recordLoss records an attempt that its server broke off, unless it had been writing for long.
 func (rq *request) recordLoss() {
 	now := rq.ru.now
@@ -415,12 +420,14 @@
 		return
 	}
 	sv := permit.Server{ID: rq.engine.id, StartUnixMS: rq.engine.incarnation}
-	rq.node.crashes.Lost(now, sv, crash.Loss{Request: xxhash.Sum64String(string(rq.id)), At: now, Parts: rq.sharedParts()})
+	rq.node.crashes.Lost(now, sv, crash.Loss{
+		Request: uint32(xxhash.Sum64String(string(rq.id))), Content: rq.content(), At: now, Parts: rq.sharedParts(),
+	})
 }
 
 // blocks refuses a request that holds a blocked part.
 func (no *node) blocks(rq *request) bool {
-	bl, ok := no.crashes.Blocked(no.ru.now, rq.sharedParts())
+	bl, ok := no.crashes.Blocked(no.ru.now, rq.keys())
 	if !ok || no.ru.Naive {
 		return false
 	}
--- a/internal/bench/crowd/engine.go
+++ b/internal/bench/crowd/engine.go
@@ -128,7 +128,7 @@
 	en.schedule(rq, inc, first, rq.firstToken)
 	en.schedule(rq, inc, first+tokenTime*outputTokens, func() {
 		rq.attemptEnded(place.Succeeded)
-		rq.node.crashes.Completed(ru.now, rq.sharedParts())
+		rq.node.crashes.Completed(ru.now, rq.keys())
 	})
 }
 
--- a/internal/edge/relay/crashes.go
+++ b/internal/edge/relay/crashes.go
@@ -15,11 +15,16 @@
 	"lycheepick/internal/rule/place"
 )
 
-// A request that is refused since requests like it crash servers has not run.
-const (
-	blockedStatus = fasthttp.StatusServiceUnavailable
-	blockedReason = "servers have crashed under requests with a part of this prompt"
-)
+// blockedStatus is the status of a request that is refused since servers crash under it or under
+// others with a part of its prompt. It has not run.
+const blockedStatus = fasthttp.StatusServiceUnavailable
+
+func blockedReason(ke crash.Key) string {
+	if ke.IsRequest() {
+		return "servers have crashed under this request"
+	}
+	return "servers have crashed under requests with a part of this prompt"
+}
 
 // isLost reports whether an attempt ended since its server closed the connection before the end
 // of the response. Timeouts and what this node cancels don't count: they don't show that the
@@ -63,7 +68,9 @@
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	now := time.Now()
-	rl.crashes.Lost(now, permitServer(&pi.Server), crash.Loss{Request: xxhash.Sum64String(string(ru.rq.ID)), At: now, Parts: ru.parts})
+	rl.crashes.Lost(now, permitServer(&pi.Server), crash.Loss{
+		Request: uint32(xxhash.Sum64String(string(ru.rq.ID))), Content: ru.rq.Content, At: now, Parts: ru.parts,
+	})
 }
 
 func partNumbers(parts []place.BlockID) []uint32 {
@@ -78,49 +85,46 @@
 func (ru *run) recordCompleted() {
 	ru.rl.mu.Lock()
 	defer ru.rl.mu.Unlock()
-	ru.rl.crashes.Completed(time.Now(), ru.parts)
+	ru.rl.crashes.Completed(time.Now(), ru.keys)
 }
 
-// blocked returns why and for how long a request with these parts is refused.
-func (rl *Relay) blocked(parts []place.BlockID) (crash.Block, bool) {
-	if len(parts) == 0 {
-		return crash.Block{}, false
-	}
+// blocked returns why and for how long a request with these keys is refused.
+func (rl *Relay) blocked(keys []crash.Key) (crash.Block, bool) {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	return rl.crashes.Blocked(time.Now(), parts)
+	return rl.crashes.Blocked(time.Now(), keys)
 }
 
-// mayTry reports whether a request may be sent although it has a blocked part, to learn whether
+// mayTry reports whether a request may be sent although it has a blocked key, to learn whether
 // that still crashes servers.
-func (rl *Relay) mayTry(part place.BlockID, parts []place.BlockID) bool {
-	if !rl.OwnsTrials(part) {
+func (rl *Relay) mayTry(blocked crash.Key, keys []crash.Key) bool {
+	if !rl.OwnsTrials(blocked) {
 		return false
 	}
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	return rl.crashes.Try(time.Now(), parts)
+	return rl.crashes.Try(time.Now(), keys)
 }
 
-// refuseBlocked refuses a new request that has a blocked part, unless it may try it.
+// refuseBlocked refuses a new request that has a blocked key, unless it may try it.
 func (ru *run) refuseBlocked() bool {
-	bl, ok := ru.rl.blocked(ru.parts)
+	bl, ok := ru.rl.blocked(ru.keys)
 	if !ok {
 		return false
 	}
-	if ru.rl.mayTry(bl.Part, ru.parts) {
+	if ru.rl.mayTry(bl.Key, ru.keys) {
 		ru.trial = true
-		ru.rl.Log.Info("part_tried", zap.String("request", string(ru.rq.ID)), zap.Uint32("part", uint32(bl.Part)))
+		ru.rl.Log.Info("block_tried", zap.String("request", string(ru.rq.ID)), zap.Uint64("key", uint64(bl.Key)))
 		return false
 	}
 	ru.rl.Counts.Blocked.Add(1)
-	ru.rl.refuse(ru.rq, ru.sink, blockedStatus, blockedReason, bl.RetryAfter)
+	ru.rl.refuse(ru.rq, ru.sink, blockedStatus, blockedReason(bl.Key), bl.RetryAfter)
 	return true
 }
 
-// isBlocked reports whether the request has a blocked part that it doesn't try.
+// isBlocked reports whether the request has a blocked key that it doesn't try.
 func (ru *run) isBlocked() bool {
-	_, ok := ru.rl.blocked(ru.parts)
+	_, ok := ru.rl.blocked(ru.keys)
 	return ok && !ru.trial
 }
 
@@ -131,7 +135,8 @@
 	changes := rl.crashes.Changes()
 	rl.mu.Unlock()
 	for _, ch := range changes {
-		rl.Log.Info("part_blocked", zap.Uint32("part", uint32(ch.Part)), zap.Bool("blocked", ch.Blocked), zap.Int("crashes", ch.Crashes))
+		rl.Log.Info("crashes_blocked", zap.Uint64("key", uint64(ch.Key)), zap.Bool("request", ch.Key.IsRequest()),
+			zap.Bool("blocked", ch.Blocked), zap.Int("crashes", ch.Crashes))
 	}
 }
 
@@ -157,4 +162,4 @@
 }
 
 // ownsTrials is Relay.OwnsTrials of a node without peers.
-func ownsTrials(place.BlockID) bool { return true }
+func ownsTrials(crash.Key) bool { return true }
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -40,8 +40,8 @@
 	// KindLimited marks an attempt that was not sent since its server named a limit after it was
 	// chosen.
 	KindLimited Kind = "limited"
-	// KindBlocked marks an attempt that was not sent since requests with a part of its prompt crash
-	// servers, as this node has learned since the server was chosen.
+	// KindBlocked marks an attempt that was not sent since the request, or others with a part of its
+	// prompt, crash servers, as this node has learned since the server was chosen.
 	KindBlocked Kind = "blocked"
 	// KindErrored marks an attempt for which the server returned an error response.
 	KindErrored Kind = "errored"
@@ -162,7 +162,8 @@
 	// NoOrigin counts streams that were not taken up again since the software version that began
 	// them is not known.
 	NoOrigin atomic.Int64
-	// Blocked counts requests refused since requests with a part of their prompts crash servers.
+	// Blocked counts requests refused since they, or others with a part of their prompts, crash
+	// servers.
 	Blocked atomic.Int64
 	// NoPermit counts requests refused under the limits that servers name, PermitsAsked,
 	// PermitsFailed and PermitsIssued the requests for permits, those without an answer, and the
@@ -186,8 +187,8 @@
 	AskPermits func(context.Context, permit.Request) (permit.Grant, error)
 	// Origins keeps where streams began.
 	Origins Origins
-	// OwnsTrials reports whether this node, and no other, may try a blocked part of prompts again.
-	OwnsTrials func(place.BlockID) bool
+	// OwnsTrials reports whether this node, and no other, may try a blocked key again.
+	OwnsTrials func(crash.Key) bool
 
 	draining atomic.Pointer[drainCutoffs]
 	// syncedAt is when the list of servers last matched the store, in Unix nanoseconds.
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"lycheepick/internal/rule/admit"
+	"lycheepick/internal/rule/crash"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/units"
@@ -59,9 +60,10 @@
 	failure *failure
 	// beganAt is when the response of the current attempt began, zero before.
 	beganAt time.Time
-	// parts are the parts of the prompt that other requests may have too, and trial is set if the
-	// request tries one that is blocked.
+	// parts are the parts of the prompt that other requests may have too, and keys what crashes are
+	// counted under. trial is set if the request tries one that is blocked.
 	parts []place.BlockID
+	keys  []crash.Key
 	trial bool
 }
 
@@ -83,6 +85,7 @@
 		machine: answer.New(rq.Route.RetryPolicy != routes.AtMostOnce, maxSends),
 		ask:     place.Request{Blocks: rq.PrefixBlocks, Prompt: rq.PromptTokens, Zone: rl.Zone},
 	}
+	ru.keys = crash.Keys(rq.Content, ru.parts)
 	if ru.refuseBlocked() {
 		return
 	}
@@ -279,9 +282,9 @@
 		ru.rl.Counts.Gone.Add(1)
 		ru.log("caller_gone", err.Error(), 0)
 	case state == answer.NotRun && fault.Is(err, KindBlocked):
-		bl, _ := ru.rl.blocked(ru.parts)
+		bl, _ := ru.rl.blocked(ru.keys)
 		ru.rl.Counts.Blocked.Add(1)
-		ru.rl.refuse(ru.rq, ru.sink, blockedStatus, blockedReason, max(noServerRetryAfter, bl.RetryAfter))
+		ru.rl.refuse(ru.rq, ru.sink, blockedStatus, blockedReason(bl.Key), max(noServerRetryAfter, bl.RetryAfter))
 	case state == answer.NotRun:
 		ru.rl.refuse(ru.rq, ru.sink, fasthttp.StatusServiceUnavailable, err.Error(), noServerRetryAfter)
 	case fault.Is(err, KindDeadline):
--- a/internal/rule/crash/crash.go
+++ b/internal/rule/crash/crash.go
@@ -1,11 +1,11 @@
-// Package crash finds the parts of prompts under which backend servers crash, so that requests with
-// such a part are refused instead of being sent to one server after the other.
+// Package crash finds the requests, and the parts of prompts, under which backend servers crash, so
+// that such requests are refused instead of being sent to one server after the other.
 //
 // A node sees only the requests that it lost itself, and when a server crashes it loses all that
 // it had there. So nodes report to each other which requests they lost with which server, and
-// which parts have completed since. From the same reports all nodes come to the same verdicts: a
-// part is blocked once the crashes under it outnumber the completions with it, and no other part
-// explains these crashes better.
+// what has completed since. From the same reports all nodes come to the same verdicts: a key, which
+// is a request that comes again or a part, is blocked once the crashes under it outnumber the
+// completions with it, and no other key explains these crashes better.
 //
 // Nothing here does I/O or reads a clock, and nothing is safe for concurrent use.
 package crash
@@ -19,10 +19,40 @@
 	"lycheepick/internal/rule/place"
 )
 
+// Key is what requests may have in common: a part of their prompts, or all of them if it is one
+// request that comes again.
+type Key uint64
+
+// requestBit tells requests from parts.
+const requestBit Key = 1 << 63
+
+// PartKey returns the key of a part of a prompt.
+func PartKey(id place.BlockID) Key { return Key(id) }
+
+// RequestKey returns the key of a request by the hash of its caller, path and body.
+func RequestKey(content uint64) Key { return Key(content) | requestBit }
+
+// IsRequest reports whether the key is that of a request.
+func (ke Key) IsRequest() bool { return ke&requestBit != 0 }
+
+// Keys returns the keys of a request with this content and these parts.
+func Keys(content uint64, parts []place.BlockID) []Key {
+	out := make([]Key, 0, len(parts)+1)
+	for _, id := range parts {
+		out = append(out, PartKey(id))
+	}
+	if content != 0 {
+		out = append(out, RequestKey(content))
+	}
+	return out
+}
+
 // Loss is an attempt that ended with its server.
 type Loss struct {
-	// Request identifies the request.
-	Request uint64
+	// Request identifies the attempt of the caller, and Content is the hash of its caller, path and
+	// body, 0 if that doesn't count.
+	Request uint32
+	Content uint64
 	At      time.Time
 	// Parts are the parts of its prompt that other requests may have too, in order.
 	Parts []place.BlockID
@@ -33,16 +63,16 @@
 const MaxWriting = 2 * time.Second
 
 const (
-	// maxSound bounds the parts that are known to have been completed lately.
+	// maxSound bounds the keys that are known to have been completed lately.
 	maxSound = 4096
 	// maxParts bounds the parts of a request that are kept.
 	maxParts = 8
 	// maxLosses bounds the requests kept for one crash, maxOpen the crashes that no verdict rests
 	// on, and maxResting those that one does.
 	maxLosses, maxOpen, maxResting = 64, 64, 8
-	// maxVerdicts bounds the parts that are blocked.
+	// maxVerdicts bounds the keys that are blocked.
 	maxVerdicts = 32
-	// maxCompletions bounds the completions kept for a part.
+	// maxCompletions bounds the completions kept for a key.
 	maxCompletions = 16
 	// soundTime is the time after a completion with a part in which losses with it don't count: a
 	// part that most requests have would be in the report of each crash.
@@ -60,9 +90,9 @@
 // Book holds what one node knows of crashes.
 type Book struct {
 	crashes   map[permit.Server]*record
-	byPart    map[place.BlockID][]*record
-	completed map[place.BlockID][]completion
-	verdicts  map[place.BlockID]*verdict
+	byKey     map[Key][]*record
+	completed map[Key][]completion
+	verdicts  map[Key]*verdict
 	changes   []Change
 	// crashedAt holds the times of all crashes as of the last judgement.
 	crashedAt []time.Time
@@ -73,9 +103,9 @@
 	// lastCompletion numbers the completions at this node.
 	lastCompletion uint32
 	node           uint32
-	// sound and soundBefore hold the parts that this node has completed requests with since
+	// sound and soundBefore hold the keys that this node has completed requests with since
 	// rotatedAt, and in the soundTime before.
-	sound, soundBefore map[place.BlockID]struct{}
+	sound, soundBefore map[Key]struct{}
 	rotatedAt          time.Time
 	// spent is the number of bytes of reports that are not refilled yet, as of refilledAt.
 	spent      int
@@ -85,13 +115,13 @@
 // record is what is known of one incarnation of a server.
 type record struct {
 	server permit.Server
-	losses map[uint64]Loss
+	losses map[uint32]Loss
 	// heardAt is the latest time at which the server is known to have served, and heardNews that of
 	// the latest loss which it survived, zero if there is none.
 	heardAt, heardNews time.Time
 }
 
-// completion is an attempt with a part that its server completed.
+// completion is an attempt with a key that its server completed.
 type completion struct {
 	id uint64
 	at time.Time
@@ -101,22 +131,28 @@
 // node differ from those at others.
 func NewBook(node uint32) *Book {
 	return &Book{
-		crashes: map[permit.Server]*record{}, byPart: map[place.BlockID][]*record{}, completed: map[place.BlockID][]completion{},
-		verdicts: map[place.BlockID]*verdict{}, node: node, sound: map[place.BlockID]struct{}{},
+		crashes: map[permit.Server]*record{}, byKey: map[Key][]*record{}, completed: map[Key][]completion{},
+		verdicts: map[Key]*verdict{}, node: node, sound: map[Key]struct{}{},
 	}
 }
 
 // Lost records an attempt that its server broke off.
 func (bo *Book) Lost(now time.Time, sv permit.Server, lo Loss) {
 	bo.rotate(now)
-	lo.Parts = slices.DeleteFunc(sample(lo.Parts), func(id place.BlockID) bool {
-		_, now := bo.sound[id]
-		_, before := bo.soundBefore[id]
-		return now || before
-	})
+	lo.Parts = slices.DeleteFunc(sample(lo.Parts), func(id place.BlockID) bool { return bo.isSound(PartKey(id)) })
+	if bo.isSound(RequestKey(lo.Content)) {
+		lo.Content = 0
+	}
 	bo.add(now, sv, lo)
 }
 
+// isSound reports whether this node has completed a request with a key lately.
+func (bo *Book) isSound(ke Key) bool {
+	_, now := bo.sound[ke]
+	_, before := bo.soundBefore[ke]
+	return now || before
+}
+
 // rotate forgets which parts were completed longer ago than soundTime.
 func (bo *Book) rotate(now time.Time) {
 	age := now.Sub(bo.rotatedAt)
@@ -127,7 +163,7 @@
 	if age > 2*soundTime {
 		bo.soundBefore = nil
 	}
-	bo.sound, bo.rotatedAt = map[place.BlockID]struct{}{}, now
+	bo.sound, bo.rotatedAt = map[Key]struct{}{}, now
 }
 
 // sample returns the parts that are kept of a request. Of too many, different requests with the
@@ -145,14 +181,14 @@
 func (bo *Book) record(sv permit.Server) *record {
 	re := bo.crashes[sv]
 	if re == nil {
-		re = &record{server: sv, losses: map[uint64]Loss{}}
+		re = &record{server: sv, losses: map[uint32]Loss{}}
 		bo.crashes[sv] = re
 	}
 	return re
 }
 
 func (bo *Book) add(now time.Time, sv permit.Server, lo Loss) {
-	if len(lo.Parts) == 0 || now.Sub(lo.At) > longMemory {
+	if (lo.Content == 0 && len(lo.Parts) == 0) || now.Sub(lo.At) > longMemory {
 		return
 	}
 	re := bo.record(sv)
@@ -190,14 +226,14 @@
 	}
 }
 
-// Completed records that a server completed a request. Parts that no crash is under are left out.
-func (bo *Book) Completed(now time.Time, parts []place.BlockID) {
+// Completed records that a server completed a request. Keys that no crash is under are left out.
+func (bo *Book) Completed(now time.Time, keys []Key) {
 	bo.rotate(now)
-	for _, id := range parts {
+	for _, id := range keys {
 		if len(bo.sound) < maxSound {
 			bo.sound[id] = struct{}{}
 		}
-		if bo.byPart[id] == nil || bo.score(id, nil, now) == 0 {
+		if bo.byKey[id] == nil || bo.score(id, nil, now) == 0 {
 			continue
 		}
 		bo.lastCompletion++
@@ -207,8 +243,8 @@
 
 // complete adds a completion. Those are left out that find the score at zero, so that all nodes
 // keep the same few.
-func (bo *Book) complete(now time.Time, part place.BlockID, co completion) {
-	list := bo.completed[part]
+func (bo *Book) complete(now time.Time, ke Key, co completion) {
+	list := bo.completed[ke]
 	if slices.ContainsFunc(list, func(have completion) bool { return have.id == co.id }) {
 		return
 	}
@@ -216,8 +252,8 @@
 	slices.SortFunc(list, func(one, two completion) int {
 		return cmp.Or(one.at.Compare(two.at), cmp.Compare(one.id, two.id))
 	})
-	list = bo.needed(bo.under(part, nil, now), list)
-	bo.completed[part] = list[max(0, len(list)-maxCompletions):]
+	list = bo.needed(ke, bo.under(ke, nil, now), list)
+	bo.completed[ke] = list[max(0, len(list)-maxCompletions):]
 	bo.changed = true
 }
 
@@ -256,8 +292,8 @@
 // explained reports whether a request that was lost in a crash has a blocked part.
 func (bo *Book) explained(re *record) bool {
 	for _, lo := range re.losses {
-		for _, id := range lo.Parts {
-			if bo.verdicts[id] != nil {
+		for _, ke := range lo.keys() {
+			if bo.verdicts[ke] != nil {
 				return true
 			}
 		}
@@ -287,23 +323,38 @@
 	return at
 }
 
-// index enters a loss in byPart.
+// keys returns the keys of a lost request.
+func (lo *Loss) keys() []Key { return Keys(lo.Content, lo.Parts) }
+
+// place returns the place of a key in a lost request: that of a part in its prompt, and after all
+// of them for the request itself. It is -1 if the request doesn't have the key.
+func (lo *Loss) place(ke Key) int {
+	if ke.IsRequest() {
+		if lo.Content != 0 && RequestKey(lo.Content) == ke {
+			return len(lo.Parts)
+		}
+		return -1
+	}
+	return slices.Index(lo.Parts, place.BlockID(ke))
+}
+
+// index enters a loss in byKey.
 func (bo *Book) index(re *record, lo Loss) {
-	for _, id := range lo.Parts {
-		if !slices.Contains(bo.byPart[id], re) {
-			bo.byPart[id] = append(bo.byPart[id], re)
+	for _, id := range lo.keys() {
+		if !slices.Contains(bo.byKey[id], re) {
+			bo.byKey[id] = append(bo.byKey[id], re)
 		}
 	}
 }
 
-// unindex removes a record from byPart, and forgets the completions with parts that no crash is
+// unindex removes a record from byKey, and forgets the completions with keys that no crash is
 // under any more.
 func (bo *Book) unindex(re *record) {
 	for _, lo := range re.losses {
-		for _, id := range lo.Parts {
-			list := slices.DeleteFunc(bo.byPart[id], func(have *record) bool { return have == re })
-			if bo.byPart[id] = list; len(list) == 0 {
-				delete(bo.byPart, id)
+		for _, id := range lo.keys() {
+			list := slices.DeleteFunc(bo.byKey[id], func(have *record) bool { return have == re })
+			if bo.byKey[id] = list; len(list) == 0 {
+				delete(bo.byKey, id)
 				delete(bo.completed, id)
 			}
 		}
--- a/internal/rule/crash/crash_test.go
+++ b/internal/rule/crash/crash_test.go
@@ -22,8 +22,9 @@
 // log is a book with a clock, and numbers for servers and requests.
 type log struct {
 	*crash.Book
-	now              time.Time
-	servers, request int
+	now     time.Time
+	servers int
+	request uint32
 }
 
 func newLog(node uint32) *log {
@@ -44,7 +45,7 @@
 	lo.servers++
 	for _, parts := range prompts {
 		lo.request++
-		lo.Lost(lo.now, server(lo.servers), crash.Loss{Request: uint64(lo.request), At: lo.now, Parts: parts})
+		lo.Lost(lo.now, server(lo.servers), crash.Loss{Request: lo.request, Content: 1000 + uint64(lo.request), At: lo.now, Parts: parts})
 	}
 	return lo
 }
@@ -57,12 +58,12 @@
 }
 
 func (lo *log) complete(parts ...place.BlockID) *log {
-	lo.Completed(lo.now, parts)
+	lo.Completed(lo.now, crash.Keys(0, parts))
 	return lo
 }
 
 func (lo *log) blocks(part place.BlockID) bool {
-	_, ok := lo.Blocked(lo.now, []place.BlockID{part})
+	_, ok := lo.Blocked(lo.now, crash.Keys(0, prompt(part)))
 	return ok
 }
 
@@ -147,7 +148,7 @@
 	}
 	start := nodes[0].now
 	for num, lo := range nodes {
-		lo.servers, lo.request = 10*num, 10*num
+		lo.servers, lo.request = 10*num, uint32(10*num)
 		lo.after(time.Duration(num+1) * 200 * ms).crash(prompt(shared, guilty))
 	}
 	tell := func(at time.Duration) {
@@ -185,23 +186,24 @@
 	lo := newLog(1)
 	lo.crashes(5, 300*ms, prompt(shared, guilty)).after(1500 * ms)
 	parts := prompt(shared, guilty)
-	bl, ok := lo.Blocked(lo.now, parts)
-	if !ok || bl.Part != guilty || bl.RetryAfter < 25*time.Second || bl.RetryAfter > 30*time.Second {
+	keys := crash.Keys(7, parts)
+	bl, ok := lo.Blocked(lo.now, keys)
+	if !ok || bl.Key != crash.PartKey(guilty) || bl.RetryAfter < 25*time.Second || bl.RetryAfter > 30*time.Second {
 		t.Fatalf("have %+v, %t, want the guilty part blocked for half a minute", bl, ok)
 	}
-	if lo.Try(lo.now, parts) {
+	if lo.Try(lo.now, keys) {
 		t.Error("a request may try the part at once")
 	}
 	lo.after(30 * time.Second)
-	if !lo.Try(lo.now, parts) || lo.Try(lo.now, parts) {
+	if !lo.Try(lo.now, keys) || lo.Try(lo.now, keys) {
 		t.Error("want one request that may try the part")
 	}
 	lo.after(300 * ms).crash(parts).after(1500 * ms)
-	if bl, _ := lo.Blocked(lo.now, parts); bl.RetryAfter < time.Minute {
+	if bl, _ := lo.Blocked(lo.now, keys); bl.RetryAfter < time.Minute {
 		t.Errorf("have %s after another crash, want a minute or more", bl.RetryAfter)
 	}
 	for trial := 0; lo.blocks(guilty); trial++ {
-		if lo.after(100 * time.Second); !lo.Try(lo.now, parts) || trial > 3 {
+		if lo.after(100 * time.Second); !lo.Try(lo.now, keys) || trial > 3 {
 			t.Fatalf("trial %d: want it allowed, and three completions to end the verdict", trial)
 		}
 		lo.complete(parts...).after(200 * ms)
@@ -285,10 +287,10 @@
 	bo, now := crash.NewBook(1), time.Unix(0, 0)
 	for num := range 4 {
 		now = now.Add(time.Second)
-		bo.Lost(now, server(num), crash.Loss{Request: uint64(num), At: now, Parts: prompt(shared, guilty)})
+		bo.Lost(now, server(num), crash.Loss{Request: uint32(num), At: now, Parts: prompt(shared, guilty)})
 	}
 	now = now.Add(2 * time.Second)
-	bl, blocked := bo.Blocked(now, prompt(topic, guilty))
-	fmt.Println(blocked, bl.Part, bl.RetryAfter)
+	bl, blocked := bo.Blocked(now, crash.Keys(0, prompt(topic, guilty)))
+	fmt.Println(blocked, bl.Key, bl.RetryAfter)
 	// Output: true 3 28s
 }
--- a/internal/rule/crash/report.go
+++ b/internal/rule/crash/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,9 +14,9 @@
 type Summary struct {
 	// Servers holds, for each server with news, its number and the digest of what is known of it.
 	Servers []byte `json:"servers,omitempty"`
-	// Completed holds a digest for each part of the completions.
+	// Completed holds a digest for each share of the completions.
 	Completed []byte `json:"completed,omitempty"`
-	// Verdicts stands for the parts that the node blocks, 0 for none.
+	// Verdicts stands for the keys that the node blocks, 0 for none.
 	Verdicts uint64 `json:"verdicts,omitempty"`
 }
 
@@ -33,7 +32,7 @@
 	permit.Server
 	// HeardAge is the time since the server is known to have served, 0 if it hasn't survived a loss.
 	HeardAge time.Duration `json:"heard_age,omitempty"`
-	// Lost holds losses: the request, the age in ms, the number of parts, and the parts.
+	// Lost holds losses: the request, its content, the age in ms, the number of parts, and the parts.
 	Lost []byte `json:"lost,omitempty"`
 }
 
@@ -45,9 +44,9 @@
 	// completionShares shares.
 	digestBytes, completionShares = 4, 16
 	// lossBytes is the size of a loss without its parts, partBytes that of a part.
-	lossBytes, partBytes = 8 + 4 + 1, 4
-	// completionBytes is the size of a completion: its part, id and age in ms.
-	completionBytes = 4 + 8 + 4
+	lossBytes, partBytes = 4 + 8 + 4 + 1, 4
+	// completionBytes is the size of a completion: its key, id and age in ms.
+	completionBytes = 8 + 8 + 4
 	// maxReportBytes bounds the losses and the completions of a report, and reportRate and
 	// reportBurst those of all reports, in bytes a second and at once.
 	maxReportBytes, reportRate, reportBurst = 4 << 10, 12 << 10, 16 << 10
@@ -82,7 +81,7 @@
 func (re *record) digest() uint32 {
 	out := uint64(0)
 	for id := range re.losses {
-		out ^= id * 0x9e3779b97f4a7c15
+		out ^= uint64(id) * 0x9e3779b97f4a7c15
 	}
 	if !re.heardNews.IsZero() {
 		out++
@@ -168,7 +167,7 @@
 }
 
 // addEvidence adds what the verdicts rest on. Of the requests that were lost, it has the blocked
-// part alone.
+// key alone.
 func (bo *Book) addEvidence(now time.Time, re *Report) {
 	for id, ve := range bo.verdicts {
 		if bo.isNews(now, ve.since) { // Peers come to it by themselves.
@@ -178,9 +177,16 @@
 		for _, ev := range list[max(0, len(list)-maxResting):] {
 			sv := Server{Server: ev.record.server}
 			for _, lo := range ev.record.losses {
-				if slices.Contains(lo.Parts, id) {
-					sv.Lost = appendLoss(sv.Lost, now, &Loss{Request: lo.Request, At: lo.At, Parts: []place.BlockID{id}})
+				if lo.place(id) < 0 {
+					continue
 				}
+				only := Loss{Request: lo.Request, At: lo.At}
+				if id.IsRequest() {
+					only.Content = lo.Content
+				} else {
+					only.Parts = []place.BlockID{place.BlockID(id)}
+				}
+				sv.Lost = appendLoss(sv.Lost, now, &only)
 			}
 			re.Servers = append(re.Servers, sv)
 		}
@@ -190,12 +196,12 @@
 	}
 }
 
-// Digest stands for the parts that are blocked, 0 if there are none.
+// Digest stands for the keys that are blocked, 0 if there are none.
 func (bo *Book) Digest() uint64 {
 	var out uint64
 	for id := range bo.verdicts {
-		var buf [partBytes]byte
-		binary.BigEndian.PutUint32(buf[:], uint32(id))
+		var buf [8]byte
+		binary.BigEndian.PutUint64(buf[:], uint64(id))
 		out ^= xxhash.Sum64(buf[:])
 	}
 	return out
@@ -206,7 +212,7 @@
 }
 
 func appendLoss(to []byte, now time.Time, lo *Loss) []byte {
-	to = binary.BigEndian.AppendUint64(to, lo.Request)
+	to = binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint32(to, lo.Request), lo.Content)
 	to = append(appendAge(to, now.Sub(lo.At)), byte(len(lo.Parts)))
 	for _, id := range lo.Parts {
 		to = binary.BigEndian.AppendUint32(to, uint32(id))
@@ -214,8 +220,8 @@
 	return to
 }
 
-func appendCompletion(to []byte, now time.Time, part place.BlockID, co *completion) []byte {
-	to = binary.BigEndian.AppendUint32(to, uint32(part))
+func appendCompletion(to []byte, now time.Time, ke Key, co *completion) []byte {
+	to = binary.BigEndian.AppendUint64(to, uint64(ke))
 	return appendAge(binary.BigEndian.AppendUint64(to, co.id), now.Sub(co.at))
 }
 
@@ -234,7 +240,7 @@
 			if raw[lossBytes-1] > maxParts || len(raw) < size {
 				break
 			}
-			lo := Loss{Request: binary.BigEndian.Uint64(raw), At: age(raw[8:])}
+			lo := Loss{Request: binary.BigEndian.Uint32(raw), Content: binary.BigEndian.Uint64(raw[4:]), At: age(raw[12:])}
 			for at := lossBytes; at < size; at += partBytes {
 				lo.Parts = append(lo.Parts, place.BlockID(binary.BigEndian.Uint32(raw[at:])))
 			}
@@ -243,8 +249,8 @@
 		}
 	}
 	for raw := re.Completed; len(raw) >= completionBytes; raw = raw[completionBytes:] {
-		if id := place.BlockID(binary.BigEndian.Uint32(raw)); bo.byPart[id] != nil {
-			bo.complete(now, id, completion{id: binary.BigEndian.Uint64(raw[4:]), at: age(raw[12:])})
+		if ke := Key(binary.BigEndian.Uint64(raw)); bo.byKey[ke] != nil {
+			bo.complete(now, ke, completion{id: binary.BigEndian.Uint64(raw[8:]), at: age(raw[16:])})
 		}
 	}
 }
--- a/internal/rule/crash/verdict.go
+++ b/internal/rule/crash/verdict.go
@@ -3,72 +3,112 @@
 import (
 	"slices"
 	"time"
-
-	"lycheepick/internal/rule/place"
 )
 
 const (
-	// blockScore is the score at which a part is blocked, and maxScore the highest one, so that a
-	// few completions end a verdict.
-	blockScore, maxScore = 4, 6
-	// blockCrashes is the number of crashes that nothing else explains at which a part is blocked,
-	// and keepCrashes that from which on it stays so.
-	blockCrashes, keepCrashes = 3, 2
+	// partScore and requestScore are the scores at which a part and a request are blocked, and
+	// spareScore is what a score may have more, so that a few completions end a verdict.
+	partScore, requestScore, spareScore = 4, 3, 2
+	// contentLimit is the number of crashes under one request that count for a part of its prompt.
+	contentLimit = 3
+	// minContents is the number of different requests that have to be lost with a part.
+	minContents = 2
+	// keepCrashes is the number of crashes that nothing else explains from which on a key stays
+	// blocked. One less than its score is needed at first.
+	keepCrashes = 2
 	// settleTime is the age from which on a crash counts. By then the other nodes have reported what
 	// they lost in it, and whether the server lives on.
 	settleTime = 1200 * time.Millisecond
-	// burstTime is the time in which fewer crashes than blockScore count: servers that end together
+	// burstTime is the time in which fewer crashes count than block a key: servers that end together
 	// have lost power or the network, and their requests have nothing to do with it.
 	burstTime = 100 * time.Millisecond
-	// ownShare is the least part of the crashes of a burst, one in so many, that a part has to be
+	// ownShare is the least part of the crashes of a burst, one in so many, that a key has to be
 	// under.
 	ownShare = 3
 	// judgePeriod is the shortest time between two judgements, prunePeriod the longest.
 	judgePeriod, prunePeriod = 100 * time.Millisecond, time.Minute
-	// lossWeight is the weight against a part of each request that was lost with it: a part that
-	// crashes servers needs one request for each crash.
+	// lossWeight is the weight against a key of each request that was lost with it: one that crashes
+	// servers needs one request for each crash.
 	lossWeight = 0.25
 	// minTrialDelay and maxTrialDelay bound the time after a crash at which one request may try a
-	// blocked part again, and trialTimeout is that after which it counts as lost.
+	// blocked key again, and trialTimeout is that after which it counts as lost.
 	minTrialDelay, maxTrialDelay = 30 * time.Second, 30 * time.Minute
 	trialTimeout                 = 20 * time.Second
 )
 
-// verdict is the state of a blocked part.
+// blockScore returns the score at which a key is blocked.
+func (ke Key) blockScore() int {
+	if ke.IsRequest() {
+		return requestScore
+	}
+	return partScore
+}
+
+// verdict is the state of a blocked key.
 type verdict struct {
 	since   time.Time
 	crashes int
-	// trialAt is when one request may try the part, and triedAt when one last did at this node.
+	// trialAt is when one request may try the key, and triedAt when one last did at this node.
 	trialAt, triedAt time.Time
 }
 
-// Change is a part that has been blocked, or is not blocked any more.
+// Change is a key that has been blocked, or is not blocked any more.
 type Change struct {
-	Part    place.BlockID
+	Key     Key
 	Blocked bool
 	Crashes int
 }
 
-// event is a crash under a part, with the number of requests lost with the part, and the part's
-// last place in their prompts.
+// event is a crash under a key, with the number of different requests lost with the key, and its last place
+// in them.
 type event struct {
-	record *record
-	at     time.Time
-	lost   int
-	place  int
+	record   *record
+	at       time.Time
+	lost     int
+	place    int
+	contents map[uint64]bool
 }
 
-// under returns the crashes under a part that count by now, in order, without those in explained.
-func (bo *Book) under(part place.BlockID, explained map[*record]bool, now time.Time) []event {
-	var out []event
-	for _, re := range bo.byPart[part] {
-		if explained[re] {
-			continue
+// explanations holds the blocked keys that explain a crash.
+type explanations map[*record][]Key
+
+// leaves reports whether a lost request still counts for a key. It doesn't if another blocked key
+// explains the crash, but for the parts of a request that explains it itself: if several such
+// requests have a part in common, it may be the part.
+func (ex explanations) leaves(re *record, lo *Loss, ke Key) bool {
+	for _, by := range ex[re] {
+		if by != ke && (ke.IsRequest() || !by.IsRequest() || by != RequestKey(lo.Content)) {
+			return false
 		}
-		ev := event{record: re}
+	}
+	return true
+}
+
+// byRequests returns the explanations by requests alone.
+func (ex explanations) byRequests() explanations {
+	out := explanations{}
+	for re, keys := range ex {
+		for _, ke := range keys {
+			if ke.IsRequest() {
+				out[re] = append(out[re], ke)
+			}
+		}
+	}
+	return out
+}
+
+// under returns the crashes under a key that count by now, in order, without those that other keys
+// explain.
+func (bo *Book) under(ke Key, explained explanations, now time.Time) []event {
+	var out []event
+	for _, re := range bo.byKey[ke] {
+		ev := event{record: re, contents: map[uint64]bool{}}
 		for _, lo := range re.losses {
-			if at := slices.Index(lo.Parts, part); at >= 0 {
-				ev.lost++
+			if at := lo.place(ke); at >= 0 && explained.leaves(re, &lo, ke) {
+				if lo.Content == 0 || !ev.contents[lo.Content] {
+					ev.lost++
+				}
+				ev.contents[lo.Content] = true
 				ev.place = max(ev.place, at)
 				if ev.at.IsZero() || lo.At.Before(ev.at) {
 					ev.at = lo.At
@@ -80,27 +120,58 @@
 		}
 	}
 	slices.SortFunc(out, func(one, two event) int { return one.at.Compare(two.at) })
+	if !ke.IsRequest() {
+		out = limitContents(out)
+	}
 	return out
 }
 
-// score returns the cumulative sum of a part: each crash under it adds one, each completion takes
-// one away, and it is never below zero. It stands out by far for a part that crashes servers,
+// countContents returns the number of different requests that were lost in crashes.
+func countContents(crashes []event) int {
+	seen, unknown := map[uint64]bool{}, 0
+	for _, ev := range crashes {
+		for content := range ev.contents {
+			if content == 0 {
+				unknown++
+			}
+			seen[content] = true
+		}
+	}
+	return len(seen) + max(0, unknown-1)
+}
+
+// limitContents leaves out the crashes under a part that one request which comes again accounts
+// for, but for the first contentLimit.
+func limitContents(crashes []event) []event {
+	counts := map[uint64]int{}
+	return slices.DeleteFunc(crashes, func(ev event) bool {
+		counted := false
+		for content := range ev.contents {
+			counts[content]++
+			counted = counted || content == 0 || counts[content] <= contentLimit
+		}
+		return !counted
+	})
+}
+
+// score returns the cumulative sum of a key: each crash under it adds one, each completion takes
+// one away, and it is never below zero. It stands out by far for a key that crashes servers,
 // even one that does not do so each time, and falls for one that only shares servers with it.
-func (bo *Book) score(part place.BlockID, explained map[*record]bool, now time.Time) int {
-	return bo.scoreOf(bo.under(part, explained, now), bo.completed[part])
+func (bo *Book) score(ke Key, explained explanations, now time.Time) int {
+	return bo.scoreOf(ke, bo.under(ke, explained, now))
 }
 
-func (bo *Book) scoreOf(crashes []event, completed []completion) int {
+func (bo *Book) scoreOf(ke Key, crashes []event) int {
 	score := 0
-	bo.walk(crashes, completed, func(_ *completion, at int) { score = at })
+	bo.walk(ke, crashes, bo.completed[ke], func(_ *completion, at int) { score = at })
 	return score
 }
 
 // needed returns the completions that lower the score.
-func (bo *Book) needed(crashes []event, completed []completion) []completion {
+func (bo *Book) needed(ke Key, crashes []event, completed []completion) []completion {
 	var out []completion
 	before := 0
-	bo.walk(crashes, completed, func(co *completion, score int) {
+	bo.walk(ke, crashes, completed, func(co *completion, score int) {
 		if co != nil && before > 0 {
 			out = append(out, *co)
 		}
@@ -111,7 +182,7 @@
 
 // walk calls visit with the score after each crash and each completion, in the order of their
 // times. The completion is nil for a crash.
-func (bo *Book) walk(crashes []event, completed []completion, visit func(co *completion, score int)) {
+func (bo *Book) walk(ke Key, crashes []event, completed []completion, visit func(co *completion, score int)) {
 	score, next := 0, 0
 	complete := func() {
 		score = max(0, score-1)
@@ -126,9 +197,9 @@
 		for len(burst) > 0 && ev.at.Sub(burst[0]) > burstTime {
 			burst = burst[1:]
 		}
-		if len(burst) < bo.burstLimit(ev.at, crashes) {
+		if len(burst) < bo.burstLimit(ke, ev.at, crashes) {
 			burst = append(burst, ev.at)
-			score = min(maxScore, score+1)
+			score = min(ke.blockScore()+spareScore, score+1)
 		}
 		visit(nil, score)
 	}
@@ -137,9 +208,9 @@
 	}
 }
 
-// burstLimit returns the number of crashes under a part that count within burstTime of one of
-// them: fewer than block a part, and one if many servers crashed then and most without the part.
-func (bo *Book) burstLimit(at time.Time, crashes []event) int {
+// burstLimit returns the number of crashes under a key that count within burstTime of one of
+// them: fewer than block it, and one if many servers crashed then and most without the key.
+func (bo *Book) burstLimit(ke Key, at time.Time, crashes []event) int {
 	all, own := 0, 0
 	for _, crashedAt := range bo.crashedAt {
 		if crashedAt.Sub(at).Abs() <= burstTime {
@@ -151,13 +222,13 @@
 			own++
 		}
 	}
-	if all >= blockScore && own*ownShare < all {
+	if all >= partScore && own*ownShare < all {
 		return 1
 	}
-	return blockScore - 1
+	return ke.blockScore() - 1
 }
 
-// Judge updates the verdicts, if there is something new. Of the parts whose score is high enough,
+// Judge updates the verdicts, if there is something new. Of the keys whose score is high enough,
 // the one that explains most crashes is blocked first; the crashes that it explains no longer
 // count for the others.
 func (bo *Book) Judge(now time.Time) {
@@ -174,35 +245,65 @@
 			bo.crashedAt = append(bo.crashedAt, at)
 		}
 	}
-	explained, guilty := map[*record]bool{}, map[place.BlockID]int{}
-	var suspects []place.BlockID
-	for id, list := range bo.byPart {
-		if len(list) >= blockScore {
+	var suspects []Key
+	for id, list := range bo.byKey {
+		if len(list) >= id.blockScore() {
 			suspects = append(suspects, id)
 		}
 	}
-	for len(suspects) > 0 && len(guilty) < maxVerdicts {
-		part, crashes := bo.worst(suspects, explained, settled)
+	bo.apply(now, bo.guilty(suspects, settled))
+}
+
+// guilty returns the keys to block, with the number of crashes that each explains.
+func (bo *Book) guilty(suspects []Key, settled time.Time) map[Key]int {
+	for {
+		out, explained := bo.explain(suspects, settled)
+		spare, found := bo.spare(out, explained, settled)
+		if !found {
+			return out
+		}
+		suspects = slices.DeleteFunc(suspects, func(id Key) bool { return id == spare })
+	}
+}
+
+// explain picks one key after the other, each for crashes that those before it don't explain.
+func (bo *Book) explain(suspects []Key, settled time.Time) (map[Key]int, explanations) {
+	out, explained := map[Key]int{}, explanations{}
+	left := slices.Clone(suspects)
+	for len(out) < maxVerdicts {
+		worst, crashes := bo.worst(left, explained, settled)
 		if crashes == nil {
 			break
 		}
-		guilty[part] = len(crashes)
-		for _, ev := range crashes {
-			explained[ev.record] = true
+		out[worst] = len(crashes)
+		left = slices.DeleteFunc(left, func(id Key) bool { return id == worst })
+		for _, ev := range bo.under(worst, nil, settled) {
+			explained[ev.record] = append(explained[ev.record], worst)
+		}
+	}
+	return out, explained
+}
+
+// spare returns a part that would not be blocked after all the other keys: it was picked before
+// them for crashes that they explain.
+func (bo *Book) spare(guilty map[Key]int, explained explanations, settled time.Time) (Key, bool) {
+	for id := range guilty {
+		if !id.IsRequest() && !bo.isGuilty(id, bo.under(id, explained, settled), explained, settled) {
+			return id, true
 		}
 	}
-	bo.apply(now, guilty)
+	return 0, false
 }
 
-// worst returns the part that explains most crashes of those that nothing explains yet, nil if no
-// score is high enough. What was lost or completed with a part besides counts against it. Of
-// equals it is the one that comes later in the prompts, which fewer requests have.
-func (bo *Book) worst(suspects []place.BlockID, explained map[*record]bool, settled time.Time) (best place.BlockID, crashes []event) {
+// worst returns the key that explains most crashes of those that nothing explains yet, nil if no
+// score is high enough. What was lost or completed with a key besides counts against it. Of
+// equals it is the request, or the part that comes later in the prompts, which fewer requests have.
+func (bo *Book) worst(suspects []Key, explained explanations, settled time.Time) (best Key, crashes []event) {
 	var bestValue float64
 	bestPlace := 0
 	for _, id := range suspects {
 		list := bo.under(id, explained, settled)
-		if !bo.isGuilty(id, list, settled) {
+		if !bo.isGuilty(id, list, explained, settled) {
 			continue
 		}
 		value, at := float64(len(list)-len(bo.completed[id])), 0
@@ -217,22 +318,26 @@
 	return best, crashes
 }
 
-// isGuilty reports whether a part is blocked by its score, if enough of its crashes are left that
-// nothing else explains. Not all have to be: with several guilty parts, many crashes are under two
-// of them.
-func (bo *Book) isGuilty(id place.BlockID, unexplained []event, settled time.Time) bool {
-	need := blockCrashes
+// isGuilty reports whether a key is blocked by its score, if enough of its crashes are left that
+// nothing else explains. Not all have to be: with several guilty keys, many crashes are under two
+// of them. A part is not blocked for one request alone, which may be what crashes servers.
+func (bo *Book) isGuilty(id Key, unexplained []event, explained explanations, settled time.Time) bool {
+	need := id.blockScore() - 1
 	if bo.verdicts[id] != nil {
 		need = keepCrashes
 	}
-	return len(unexplained) >= need && bo.scoreOf(unexplained, bo.completed[id]) >= need && bo.score(id, nil, settled) >= blockScore
+	if len(unexplained) < need || bo.scoreOf(id, unexplained) < need || bo.score(id, nil, settled) < id.blockScore() {
+		return false
+	}
+	return id.IsRequest() || countContents(unexplained) >= minContents ||
+		countContents(bo.under(id, explained.byRequests(), settled)) > minContents
 }
 
-func (bo *Book) apply(now time.Time, guilty map[place.BlockID]int) {
+func (bo *Book) apply(now time.Time, guilty map[Key]int) {
 	for id, ve := range bo.verdicts {
 		if guilty[id] == 0 {
 			delete(bo.verdicts, id)
-			bo.changes = append(bo.changes, Change{Part: id, Crashes: ve.crashes})
+			bo.changes = append(bo.changes, Change{Key: id, Crashes: ve.crashes})
 		}
 	}
 	for id, count := range guilty {
@@ -240,13 +345,13 @@
 		if ve == nil {
 			ve = &verdict{since: now}
 			bo.verdicts[id] = ve
-			bo.changes = append(bo.changes, Change{Part: id, Blocked: true, Crashes: count})
+			bo.changes = append(bo.changes, Change{Key: id, Blocked: true, Crashes: count})
 		}
 		ve.crashes, ve.trialAt = count, trialTime(bo.under(id, nil, now))
 	}
 }
 
-// trialTime returns when one request may try a blocked part again. The delay grows with the time
+// trialTime returns when one request may try a blocked key again. The delay grows with the time
 // over which servers have crashed under it.
 func trialTime(crashes []event) time.Time {
 	first, last := crashes[0].at, crashes[len(crashes)-1].at
@@ -262,19 +367,19 @@
 
 // Block is why a request is refused, and when it may come back.
 type Block struct {
-	Part       place.BlockID
+	Key        Key
 	RetryAfter time.Duration
 }
 
-// Blocked returns whether a request with these parts is refused.
-func (bo *Book) Blocked(now time.Time, parts []place.BlockID) (Block, bool) {
+// Blocked returns whether a request with these keys is refused.
+func (bo *Book) Blocked(now time.Time, keys []Key) (Block, bool) {
 	bo.Judge(now)
 	if len(bo.verdicts) == 0 {
 		return Block{}, false
 	}
-	for _, id := range parts {
+	for _, id := range keys {
 		if ve := bo.verdicts[id]; ve != nil {
-			return Block{Part: id, RetryAfter: max(minRetryAfter, ve.trialAt.Sub(now))}, true
+			return Block{Key: id, RetryAfter: max(minRetryAfter, ve.trialAt.Sub(now))}, true
 		}
 	}
 	return Block{}, false
@@ -283,11 +388,11 @@
 // minRetryAfter is the shortest time after which a refused request may come back.
 const minRetryAfter = time.Second
 
-// Try reports whether a request with these parts may try the one of them that is blocked. Only one
-// node may call it for a part.
-func (bo *Book) Try(now time.Time, parts []place.BlockID) bool {
+// Try reports whether a request with these keys may try the one of them that is blocked. Only one
+// node may call it for a key.
+func (bo *Book) Try(now time.Time, keys []Key) bool {
 	var blocked []*verdict
-	for _, id := range parts {
+	for _, id := range keys {
 		if ve := bo.verdicts[id]; ve != nil {
 			blocked = append(blocked, ve)
 		}
