crash: a judgement that falls between two calls is not left out; tests of requests that come again

A crash counts from 1.2 s on, and a judgement without news was made only in the tenth of a second after that. Nodes that asked less often, as the tick of 200 ms, could go on without a verdict until the next crash. TestRepeatedRequest asks after half a second and after one more, and failed: have false for the guilty request, want it blocked. TestRepeatedRequestIsNotSent sends three attempts of one request through the relay.

--- a/internal/edge/relay/crashes_test.go
+++ b/internal/edge/relay/crashes_test.go
@@ -125,3 +125,36 @@
 		})
 	}
 }
+
+// TestRepeatedRequestIsNotSent guards against a request that crashes servers, comes again with another
+// id, and reaches one more of them.
+func TestRepeatedRequestIsNotSent(t *testing.T) {
+	const guiltyContent, otherContent = 42, 43
+	for _, tt := range []struct {
+		name          string
+		content       uint64
+		sends, status int
+	}{
+		{"the same request", guiltyContent, 0, 503},
+		{"another request with the same prompt", otherContent, 2, 502},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			rl, si, ex := newRelay(3), &sink{}, &crashingServers{}
+			for num := range 3 { // One attempt may crash two servers.
+				rq := crashRequest(routes.Route{RetryPolicy: routes.Idempotent}, sharedPart)
+				rq.ID, rq.Content = units.RequestID(rune('a'+num)), guiltyContent
+				rl.Serve(context.Background(), rq, ex, &sink{})
+				time.Sleep(150 * time.Millisecond) // Crashes at one moment don't count.
+			}
+			time.Sleep(1500 * time.Millisecond)
+			ex.sends = 0
+			rq := crashRequest(routes.Route{RetryPolicy: routes.Idempotent}, sharedPart)
+			rq.ID, rq.Content = "z", tt.content
+			rl.Serve(context.Background(), rq, ex, si)
+			if ex.sends != tt.sends || si.status != tt.status {
+				t.Errorf("have %d sends and status %d, want %d and %d", ex.sends, si.status, tt.sends, tt.status)
+			}
+		})
+	}
+}
--- a/internal/rule/crash/crash.go
+++ b/internal/rule/crash/crash.go
@@ -198,7 +198,7 @@
 	re.losses[lo.Request] = lo
 	bo.index(re, lo)
 	bo.changed = true
-	if at := lo.At.Add(settleTime + judgePeriod); at.After(bo.unsettledUntil) {
+	if at := lo.At.Add(settleTime); at.After(bo.unsettledUntil) {
 		bo.unsettledUntil = at
 	}
 }
--- a/internal/rule/crash/crash_test.go
+++ b/internal/rule/crash/crash_test.go
@@ -25,6 +25,8 @@
 	now     time.Time
 	servers int
 	request uint32
+	// content is that of all requests, 0 for one of its own for each.
+	content uint64
 }
 
 func newLog(node uint32) *log {
@@ -45,7 +47,11 @@
 	lo.servers++
 	for _, parts := range prompts {
 		lo.request++
-		lo.Lost(lo.now, server(lo.servers), crash.Loss{Request: lo.request, Content: 1000 + uint64(lo.request), At: lo.now, Parts: parts})
+		content := lo.content
+		if content == 0 {
+			content = 1000 + uint64(lo.request)
+		}
+		lo.Lost(lo.now, server(lo.servers), crash.Loss{Request: lo.request, Content: content, At: lo.now, Parts: parts})
 	}
 	return lo
 }
@@ -117,6 +123,10 @@
 			lo.crashes(3, 200*ms, prompt(shared, guilty)).complete(shared).crashes(3, 200*ms, prompt(shared, topic)).complete(shared).crashes(2, 200*ms, prompt(shared, guilty), prompt(shared, topic))
 			lo.after(settle)
 		}, prompt(guilty, topic)},
+		{"one request that comes again", func(lo *log) {
+			lo.content = 7
+			lo.crashes(6, 300*ms, prompt(shared, topic)).after(settle)
+		}, nil},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			lo := newLog(1)
@@ -134,6 +144,35 @@
 	}
 }
 
+// TestRepeatedRequest checks which requests are blocked by their content.
+func TestRepeatedRequest(t *testing.T) {
+	const guilty, sound = 7, 8
+	lo := newLog(1)
+	blocked := func(content uint64) bool {
+		_, ok := lo.Blocked(lo.now, crash.Keys(content, nil))
+		return ok
+	}
+	for num := range 3 {
+		lo.content = guilty
+		lo.after(300 * ms).crash(prompt(shared))
+		lo.content = sound // Lost on the same servers, but for the first.
+		if num > 0 {
+			lo.servers--
+			lo.crash(prompt(shared))
+		}
+	}
+	if lo.after(500 * ms); blocked(guilty) {
+		t.Error("have the request blocked before others can have reported")
+	}
+	if lo.after(time.Second); !blocked(guilty) || blocked(sound) {
+		t.Errorf("have %t for the guilty request and %t for the other, want only the first blocked", blocked(guilty), blocked(sound))
+	}
+	lo.Completed(lo.now, crash.Keys(guilty, nil))
+	if lo.after(200 * ms); blocked(guilty) {
+		t.Error("have the request blocked after it was completed")
+	}
+}
+
 // tell lets a node learn from another what it lacks.
 func (lo *log) tell(to *log) {
 	to.Merge(to.now, lo.Report(lo.now, to.Summary(to.now)))
--- a/internal/rule/crash/verdict.go
+++ b/internal/rule/crash/verdict.go
@@ -233,7 +233,7 @@
 // count for the others.
 func (bo *Book) Judge(now time.Time) {
 	since := now.Sub(bo.judgedAt)
-	if since < judgePeriod || (!bo.changed && now.After(bo.unsettledUntil) && since < prunePeriod) {
+	if since < judgePeriod || (!bo.changed && bo.judgedAt.After(bo.unsettledUntil) && since < prunePeriod) {
 		return
 	}
 	bo.judgedAt, bo.changed = now, false
