--- a/internal/edge/relay/crashes_test.go
+++ b/internal/edge/relay/crashes_test.go
@@ -119,6 +119,9 @@
 			if ex.sends != tt.sends || si.status != tt.status {
 				t.Errorf("have %d sends and status %d, want %d and %d", ex.sends, si.status, tt.sends, tt.status)
 			}
+			if tt.when == sent && rl.Counts.Retries.Load() > 0 {
+				t.Error("have a retry of a blocked request, want none")
+			}
 			if tt.status == 503 && (si.after < time.Second || time.Since(began) > 500*time.Millisecond) {
 				t.Errorf("have a retry after %s, after %s, want it at once and of a second or more", si.after, time.Since(began))
 			}
--- a/internal/rule/crash/crash_test.go
+++ b/internal/rule/crash/crash_test.go
@@ -127,6 +127,12 @@
 			lo.content = 7
 			lo.crashes(6, 300*ms, prompt(shared, topic)).after(settle)
 		}, nil},
+		{"one request that comes again, beside a guilty part", func(lo *log) {
+			lo.content = 7
+			lo.crashes(6, 300*ms, prompt(shared, topic)).complete(shared)
+			lo.content = 0
+			lo.crashes(4, 300*ms, prompt(shared, guilty)).after(300*ms).crash(prompt(shared, guilty), prompt(shared, topic)).complete(shared).after(settle)
+		}, prompt(guilty)},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			lo := newLog(1)
