--- a/internal/rule/crash/crash.go
+++ b/internal/rule/crash/crash.go
@@ -70,8 +70,8 @@
 	// maxLosses bounds the requests kept for one crash, maxOpen the crashes that no verdict rests
 	// on, and maxResting those that one does.
 	maxLosses, maxOpen, maxResting = 64, 64, 8
-	// maxVerdicts bounds the keys that are blocked.
-	maxVerdicts = 32
+	// maxVerdicts bounds the keys that are blocked, and maxSuspects those that are judged.
+	maxVerdicts, maxSuspects = 16, 48
 	// maxCompletions bounds the completions kept for a key.
 	maxCompletions = 16
 	// soundTime is the time after a completion with a part in which losses with it don't count: a
@@ -100,6 +100,8 @@
 	// is when the latest crash begins to count.
 	changed                  bool
 	judgedAt, unsettledUntil time.Time
+	// pause is the time to the next judgement.
+	pause time.Duration
 	// lastCompletion numbers the completions at this node.
 	lastCompletion uint32
 	node           uint32
@@ -116,6 +118,8 @@
 type record struct {
 	server permit.Server
 	losses map[uint32]Loss
+	// byKey holds the requests that were lost with a key.
+	byKey map[Key][]uint32
 	// heardAt is the latest time at which the server is known to have served, and heardNews that of
 	// the latest loss which it survived, zero if there is none.
 	heardAt, heardNews time.Time
@@ -181,7 +185,7 @@
 func (bo *Book) record(sv permit.Server) *record {
 	re := bo.crashes[sv]
 	if re == nil {
-		re = &record{server: sv, losses: map[uint32]Loss{}}
+		re = &record{server: sv, losses: map[uint32]Loss{}, byKey: map[Key][]uint32{}}
 		bo.crashes[sv] = re
 	}
 	return re
@@ -341,22 +345,22 @@
 // index enters a loss in byKey.
 func (bo *Book) index(re *record, lo Loss) {
 	for _, id := range lo.keys() {
-		if !slices.Contains(bo.byKey[id], re) {
+		if len(re.byKey[id]) == 0 {
 			bo.byKey[id] = append(bo.byKey[id], re)
 		}
+		re.byKey[id] = append(re.byKey[id], lo.Request)
 	}
 }
 
 // unindex removes a record from byKey, and forgets the completions with keys that no crash is
 // under any more.
 func (bo *Book) unindex(re *record) {
-	for _, lo := range re.losses {
-		for _, id := range lo.keys() {
-			list := slices.DeleteFunc(bo.byKey[id], func(have *record) bool { return have == re })
-			if bo.byKey[id] = list; len(list) == 0 {
-				delete(bo.byKey, id)
-				delete(bo.completed, id)
-			}
+	for id := range re.byKey {
+		list := slices.DeleteFunc(bo.byKey[id], func(have *record) bool { return have == re })
+		if bo.byKey[id] = list; len(list) == 0 {
+			delete(bo.byKey, id)
+			delete(bo.completed, id)
 		}
 	}
+	clear(re.byKey)
 }
--- a/internal/rule/crash/crash_test.go
+++ b/internal/rule/crash/crash_test.go
@@ -298,6 +298,34 @@
 	runtime.KeepAlive(lo)
 }
 
+// BenchmarkHostileSuspects measures how much of a processor judgements take if a great many requests
+// and parts are lost again and again, ten crashes a second.
+func BenchmarkHostileSuspects(b *testing.B) {
+	lo := newLog(1)
+	num := uint32(0)
+	var busy time.Duration
+	for b.Loop() {
+		num++
+		var prompts [][]place.BlockID
+		for idx := range 64 {
+			parts := make([]place.BlockID, 8)
+			for at := range parts {
+				parts[at] = place.BlockID(1000 + idx*8 + at)
+			}
+			prompts = append(prompts, parts)
+		}
+		lo.request = num << 8
+		lo.crash(prompts...)
+		for range 10 {
+			lo.after(10 * ms)
+			began := time.Now()
+			lo.blocks(guilty)
+			busy += time.Since(began)
+		}
+	}
+	b.ReportMetric(busy.Seconds()/(0.1*float64(num)), "processors")
+}
+
 func heapInUse() int64 {
 	runtime.GC()
 	var st runtime.MemStats
--- a/internal/rule/crash/verdict.go
+++ b/internal/rule/crash/verdict.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -25,8 +26,10 @@
 	// ownShare is the least part of the crashes of a burst, one in so many, that a key has to be
 	// under.
 	ownShare = 3
-	// judgePeriod is the shortest time between two judgements, prunePeriod the longest.
+	// judgePeriod is the shortest time between two judgements, prunePeriod the longest. Each suspect
+	// adds suspectPause to the shortest one, so that many of them don't take up a processor.
 	judgePeriod, prunePeriod = 100 * time.Millisecond, time.Minute
+	suspectPause             = 10 * time.Millisecond
 	// lossWeight is the weight against a key of each request that was lost with it: one that crashes
 	// servers needs one request for each crash.
 	lossWeight = 0.25
@@ -103,16 +106,18 @@
 	var out []event
 	for _, re := range bo.byKey[ke] {
 		ev := event{record: re, contents: map[uint64]bool{}}
-		for _, lo := range re.losses {
-			if at := lo.place(ke); at >= 0 && explained.leaves(re, &lo, ke) {
-				if lo.Content == 0 || !ev.contents[lo.Content] {
-					ev.lost++
-				}
-				ev.contents[lo.Content] = true
-				ev.place = max(ev.place, at)
-				if ev.at.IsZero() || lo.At.Before(ev.at) {
-					ev.at = lo.At
-				}
+		for _, id := range re.byKey[ke] {
+			lo := re.losses[id]
+			if !explained.leaves(re, &lo, ke) {
+				continue
+			}
+			if lo.Content == 0 || !ev.contents[lo.Content] {
+				ev.lost++
+			}
+			ev.contents[lo.Content] = true
+			ev.place = max(ev.place, lo.place(ke))
+			if ev.at.IsZero() || lo.At.Before(ev.at) {
+				ev.at = lo.At
 			}
 		}
 		if ev.lost > 0 && !ev.at.After(now) {
@@ -233,7 +238,7 @@
 // count for the others.
 func (bo *Book) Judge(now time.Time) {
 	since := now.Sub(bo.judgedAt)
-	if since < judgePeriod || (!bo.changed && bo.judgedAt.After(bo.unsettledUntil) && since < prunePeriod) {
+	if since < max(judgePeriod, bo.pause) || (!bo.changed && bo.judgedAt.After(bo.unsettledUntil) && since < prunePeriod) {
 		return
 	}
 	bo.judgedAt, bo.changed = now, false
@@ -245,13 +250,27 @@
 			bo.crashedAt = append(bo.crashedAt, at)
 		}
 	}
-	var suspects []Key
+	suspects := bo.suspects()
+	bo.pause = time.Duration(len(suspects)) * suspectPause
+	bo.apply(now, bo.guilty(suspects, settled))
+}
+
+// suspects returns the keys under which there are enough crashes, those with most of them if they
+// are many.
+func (bo *Book) suspects() []Key {
+	var out []Key
 	for id, list := range bo.byKey {
 		if len(list) >= id.blockScore() {
-			suspects = append(suspects, id)
+			out = append(out, id)
 		}
 	}
-	bo.apply(now, bo.guilty(suspects, settled))
+	if len(out) > maxSuspects {
+		slices.SortFunc(out, func(one, two Key) int {
+			return cmp.Or(cmp.Compare(len(bo.byKey[two]), len(bo.byKey[one])), cmp.Compare(one, two))
+		})
+		out = out[:maxSuspects]
+	}
+	return out
 }
 
 // guilty returns the keys to block, with the number of crashes that each explains.
