crash: crashes support a verdict; comments that needed a second reading

"What a verdict rests on" is called its support. The comments of limitContents and leaves say when a request counts. No logic changes: the tests of the package and of the relay pass as before.

--- a/internal/rule/crash/crash.go
+++ b/internal/rule/crash/crash.go
@@ -67,9 +67,9 @@
 	maxSound = 4096
 	// maxParts bounds the parts of a request that are kept.
 	maxParts = 8
-	// maxLosses bounds the requests kept for one crash, maxOpen the crashes that no verdict rests
-	// on, and maxResting those that one does.
-	maxLosses, maxOpen, maxResting = 64, 64, 8
+	// maxLosses bounds the requests kept for one crash, maxOpen the crashes that support no verdict,
+	// and maxSupporting those that support one.
+	maxLosses, maxOpen, maxSupporting = 64, 64, 8
 	// maxVerdicts bounds the keys that are blocked, and maxSuspects those that are judged.
 	maxVerdicts, maxSuspects = 16, 48
 	// maxCompletions bounds the completions kept for a key.
@@ -77,8 +77,8 @@
 	// soundTime is the time after a completion with a part in which losses with it don't count: a
 	// part that most requests have would be in the report of each crash.
 	soundTime = time.Second
-	// memory is how long a crash counts that no verdict rests on, and longMemory how long a verdict
-	// rests on it.
+	// memory is how long a crash counts that supports no verdict, longMemory how long one counts that
+	// does.
 	memory, longMemory = 10 * time.Minute, time.Hour
 	// reportTime is the time in which all nodes have reported what they lost in a crash.
 	reportTime = 10 * time.Second
@@ -261,21 +261,21 @@
 	bo.changed = true
 }
 
-// prune forgets what is too old or too much. Of the crashes that a verdict rests on, the latest
+// prune forgets what is too old or too much. Of the crashes that support a verdict, the latest
 // are kept.
 func (bo *Book) prune(now time.Time) {
-	resting := map[*record]bool{}
+	supporting := map[*record]bool{}
 	for id := range bo.verdicts {
 		list := bo.under(id, nil, now)
-		for _, ev := range list[max(0, len(list)-maxResting):] {
-			resting[ev.record] = true
+		for _, ev := range list[max(0, len(list)-maxSupporting):] {
+			supporting[ev.record] = true
 		}
 	}
 	var open []*record
 	for _, re := range bo.crashes {
 		age := now.Sub(re.latest())
 		switch {
-		case resting[re] && age <= longMemory:
+		case supporting[re] && age <= longMemory:
 		case age > memory || (age > reportTime && bo.explained(re)):
 			bo.forget(re)
 		default:
--- a/internal/rule/crash/report.go
+++ b/internal/rule/crash/report.go
@@ -103,8 +103,8 @@
 
 func (co *completion) share() uint64 { return co.id % completionShares }
 
-// Report returns what a peer lacks by its summary: news, and what the verdicts rest on if it blocks
-// other parts.
+// Report returns what a peer lacks by its summary: news, and what supports the verdicts if it blocks
+// other keys.
 func (bo *Book) Report(now time.Time, su Summary) Report {
 	bo.Judge(now)
 	var re Report
@@ -166,7 +166,7 @@
 	return out
 }
 
-// addEvidence adds what the verdicts rest on. Of the requests that were lost, it has the blocked
+// addEvidence adds what supports the verdicts. Of the requests that were lost, it has the blocked
 // key alone.
 func (bo *Book) addEvidence(now time.Time, re *Report) {
 	for id, ve := range bo.verdicts {
@@ -174,7 +174,7 @@
 			continue
 		}
 		list := bo.under(id, nil, now)
-		for _, ev := range list[max(0, len(list)-maxResting):] {
+		for _, ev := range list[max(0, len(list)-maxSupporting):] {
 			sv := Server{Server: ev.record.server}
 			for _, lo := range ev.record.losses {
 				if lo.place(id) < 0 {
--- a/internal/rule/crash/verdict.go
+++ b/internal/rule/crash/verdict.go
@@ -76,8 +76,8 @@
 type explanations map[*record][]Key
 
 // leaves reports whether a lost request still counts for a key. It doesn't if another blocked key
-// explains the crash, but for the parts of a request that explains it itself: if several such
-// requests have a part in common, it may be the part.
+// explains the crash. A blocked request still counts for its own parts, since several such requests
+// may have the part in common that crashes servers.
 func (ex explanations) leaves(re *record, lo *Loss, ke Key) bool {
 	for _, by := range ex[re] {
 		if by != ke && (ke.IsRequest() || !by.IsRequest() || by != RequestKey(lo.Content)) {
@@ -145,8 +145,8 @@
 	return len(seen) + max(0, unknown-1)
 }
 
-// limitContents leaves out the crashes under a part that one request which comes again accounts
-// for, but for the first contentLimit.
+// limitContents leaves out crashes under a part in which only requests were lost that have counted
+// contentLimit times already.
 func limitContents(crashes []event) []event {
 	counts := map[uint64]int{}
 	return slices.DeleteFunc(crashes, func(ev event) bool {
