crash: completions are asked for by suspects; reports hold what a peer lacks

Cause: each node kept completions of its own for all keys under any crash, hundreds of ids for a common part, and nearly each report repeated all losses of a server for one that the peer lacked. Both shared 12 KB a second, so that a node did not learn of the few completions that clear a key before the key was judged.

Now a node names the keys that it is close to blocking, with a digest of their completions, and gets those. Losses are compared in eight shares of a server; reports have a fixed order; a completion that came before the report of the crash counts.

TestReportsHaveCompletions and TestReportsHoldWhatIsLacking failed before.

--- a/internal/rule/crash/crash.go
+++ b/internal/rule/crash/crash.go
@@ -96,6 +96,8 @@
 	changes   []Change
 	// crashedAt holds the times of all crashes as of the last judgement.
 	crashedAt []time.Time
+	// close holds the keys that are close to being blocked as of the last judgement.
+	close []Key
 	// changed is set if something is new since the last judgement, at judgedAt, and unsettledUntil
 	// is when the latest crash begins to count.
 	changed                  bool
@@ -106,12 +108,14 @@
 	lastCompletion uint32
 	node           uint32
 	// sound and soundBefore hold the keys that this node has completed requests with since
-	// rotatedAt, and in the soundTime before.
-	sound, soundBefore map[Key]struct{}
+	// rotatedAt, and in the soundTime before, with the times.
+	sound, soundBefore map[Key]time.Time
 	rotatedAt          time.Time
 	// spent is the number of bytes of reports that are not refilled yet, as of refilledAt.
 	spent      int
 	refilledAt time.Time
+	// lastSalt is that of the latest summary.
+	lastSalt uint32
 }
 
 // record is what is known of one incarnation of a server.
@@ -136,7 +140,7 @@
 func NewBook(node uint32) *Book {
 	return &Book{
 		crashes: map[permit.Server]*record{}, byKey: map[Key][]*record{}, completed: map[Key][]completion{},
-		verdicts: map[Key]*verdict{}, node: node, sound: map[Key]struct{}{},
+		verdicts: map[Key]*verdict{}, node: node, sound: map[Key]time.Time{},
 	}
 }
 
@@ -152,9 +156,15 @@
 
 // isSound reports whether this node has completed a request with a key lately.
 func (bo *Book) isSound(ke Key) bool {
-	_, now := bo.sound[ke]
-	_, before := bo.soundBefore[ke]
-	return now || before
+	return !bo.soundAt(ke).IsZero()
+}
+
+// soundAt returns when this node lately completed a request with a key, zero if it didn't.
+func (bo *Book) soundAt(ke Key) time.Time {
+	if at, ok := bo.sound[ke]; ok {
+		return at
+	}
+	return bo.soundBefore[ke]
 }
 
 // rotate forgets which parts were completed longer ago than soundTime.
@@ -167,7 +177,7 @@
 	if age > 2*soundTime {
 		bo.soundBefore = nil
 	}
-	bo.sound, bo.rotatedAt = map[Key]struct{}{}, now
+	bo.sound, bo.rotatedAt = map[Key]time.Time{}, now
 }
 
 // sample returns the parts that are kept of a request. Of too many, different requests with the
@@ -202,6 +212,11 @@
 	re.losses[lo.Request] = lo
 	bo.index(re, lo)
 	bo.changed = true
+	for _, id := range lo.keys() {
+		if at := bo.soundAt(id); at.After(lo.At) {
+			bo.completeOwn(now, id, at)
+		}
+	}
 	if at := lo.At.Add(settleTime); at.After(bo.unsettledUntil) {
 		bo.unsettledUntil = at
 	}
@@ -234,15 +249,24 @@
 func (bo *Book) Completed(now time.Time, keys []Key) {
 	bo.rotate(now)
 	for _, id := range keys {
-		if len(bo.sound) < maxSound {
-			bo.sound[id] = struct{}{}
+		if _, known := bo.sound[id]; known || len(bo.sound) < maxSound {
+			bo.sound[id] = now
+		}
+		if bo.byKey[id] != nil && bo.score(id, nil, now) > 0 {
+			bo.completeOwn(now, id, now)
 		}
-		if bo.byKey[id] == nil || bo.score(id, nil, now) == 0 {
-			continue
+	}
+}
+
+// completeOwn adds a completion at this node, unless it is known.
+func (bo *Book) completeOwn(now time.Time, ke Key, at time.Time) {
+	for _, co := range bo.completed[ke] {
+		if co.id>>32 == uint64(bo.node) && co.at.Equal(at) {
+			return
 		}
-		bo.lastCompletion++
-		bo.complete(now, id, completion{id: uint64(bo.node)<<32 | uint64(bo.lastCompletion), at: now})
 	}
+	bo.lastCompletion++
+	bo.complete(now, ke, completion{id: uint64(bo.node)<<32 | uint64(bo.lastCompletion), at: at})
 }
 
 // complete adds a completion. Those are left out that find the score at zero, so that all nodes
@@ -282,7 +306,7 @@
 			open = append(open, re)
 		}
 	}
-	slices.SortFunc(open, func(one, two *record) int { return two.latest().Compare(one.latest()) })
+	slices.SortFunc(open, func(one, two *record) int { return two.compare(one) })
 	for _, re := range open[min(len(open), maxOpen):] {
 		bo.forget(re)
 	}
--- a/internal/rule/crash/crash_test.go
+++ b/internal/rule/crash/crash_test.go
@@ -179,6 +179,58 @@
 	}
 }
 
+// lose loses requests with these contents and one prompt, each on the given server, 0 for a new one.
+func (lo *log) lose(sv int, parts []place.BlockID, contents ...uint64) {
+	if sv == 0 {
+		lo.servers++
+		sv = lo.servers
+	}
+	for _, content := range contents {
+		lo.request++
+		lo.Lost(lo.now, server(sv), crash.Loss{Request: lo.request, Content: content, At: lo.now, Parts: parts})
+	}
+}
+
+// TestReportsHaveCompletions guards against completions that wait behind losses, or that are forgotten as they
+// came before the report of the crash, while sound requests are refused.
+func TestReportsHaveCompletions(t *testing.T) {
+	own, peer := newLog(1), newLog(2)
+	peer.servers, peer.request = 100, 1000
+	for range 4 {
+		own.after(300 * ms).crash(prompt(topic))
+		peer.after(300*ms).crash(prompt(shared), prompt(shared))
+	}
+	peer.after(100 * ms).complete(topic)
+	own.after(100 * ms).tell(peer)
+	for num := range 40 { // What other nodes lost at the time.
+		for content := range 10 {
+			peer.lose(200+num, prompt(place.BlockID(10000+100*num+content)), uint64(10000+100*num+content))
+		}
+	}
+	own.after(200 * ms).blocks(topic)
+	peer.after(200 * ms).tell(own)
+	if own.after(time.Second).blocks(topic) {
+		t.Error("have the part blocked that the peer completed after the crashes")
+	}
+}
+
+// TestReportsHoldWhatIsLacking guards against reports that repeat all losses of a server for a few that the peer lacks.
+func TestReportsHoldWhatIsLacking(t *testing.T) {
+	own, peer := newLog(1), newLog(2)
+	own.servers = 1
+	for content := range uint64(40) {
+		own.lose(1, prompt(topic), content+1)
+		peer.request = own.request - 1
+		if content > 0 {
+			peer.lose(1, prompt(topic), content+1)
+		}
+	}
+	all, missing := own.Report(own.now, crash.Summary{}), own.Report(own.now, peer.Summary(peer.now))
+	if have, full := len(missing.Servers[0].Lost), len(all.Servers[0].Lost); have == 0 || have > full/3 {
+		t.Errorf("have %d bytes for one missing loss, want some, but less than a third of %d", have, full)
+	}
+}
+
 // tell lets a node learn from another what it lacks.
 func (lo *log) tell(to *log) {
 	to.Merge(to.now, lo.Report(lo.now, to.Summary(to.now)))
--- a/internal/rule/crash/report.go
+++ b/internal/rule/crash/report.go
@@ -1,7 +1,10 @@
 package crash
 
 import (
+	"cmp"
 	"encoding/binary"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,10 +15,14 @@
 
 // Summary tells a peer what a node knows of crashes, so that the peer sends only what it lacks.
 type Summary struct {
-	// Servers holds, for each server with news, its number and the digest of what is known of it.
+	// Salt differs from one summary to the next, and with it the digests: two that are the same by
+	// chance differ the next time.
+	Salt uint32 `json:"salt,omitempty"`
+	// Servers holds, for each server with news, its number and the digests of its losses, one for each
+	// share of them.
 	Servers []byte `json:"servers,omitempty"`
-	// Completed holds a digest for each share of the completions.
-	Completed []byte `json:"completed,omitempty"`
+	// Suspects holds the keys that are close to being blocked, each with the digest of its completions.
+	Suspects []byte `json:"suspects,omitempty"`
 	// Verdicts stands for the keys that the node blocks, 0 for none.
 	Verdicts uint64 `json:"verdicts,omitempty"`
 }
@@ -37,16 +44,18 @@
 }
 
 const (
-	// newsTime is the age up to which crashes and completions are passed on. They reach all nodes in
-	// four or five rounds of exchanges.
+	// newsTime is the age up to which crashes are passed on. They reach all nodes in four or five
+	// rounds of exchanges.
 	newsTime = 3 * time.Second
-	// digestBytes is the size of a digest and of a server's number. Completions are summarised in
-	// completionShares shares.
-	digestBytes, completionShares = 4, 16
+	// numberBytes and keyBytes are the sizes of a server's number and of a key. lossShares is the
+	// number of shares of losses, with a digest of one byte each.
+	numberBytes, keyBytes, lossShares = 4, 8, 8
 	// lossBytes is the size of a loss without its parts, partBytes that of a part.
 	lossBytes, partBytes = 4 + 8 + 4 + 1, 4
 	// completionBytes is the size of a completion: its key, id and age in ms.
-	completionBytes = 8 + 8 + 4
+	completionBytes = keyBytes + 8 + 4
+	// completedShare is the part of a report, one in so many, that completions have before losses.
+	completedShare = 2
 	// maxReportBytes bounds the losses and the completions of a report, and reportRate and
 	// reportBurst those of all reports, in bytes a second and at once.
 	maxReportBytes, reportRate, reportBurst = 4 << 10, 12 << 10, 16 << 10
@@ -57,19 +66,37 @@
 // Summary returns the summary of what this node knows.
 func (bo *Book) Summary(now time.Time) Summary {
 	bo.Judge(now)
-	su := Summary{Verdicts: bo.Digest()}
+	bo.lastSalt++
+	su := Summary{Salt: bo.lastSalt, Verdicts: bo.Digest()}
+	for _, re := range bo.news(now) {
+		digests := re.digests(su.Salt)
+		su.Servers = binary.BigEndian.AppendUint32(su.Servers, number(re.server))
+		su.Servers = append(su.Servers, digests[:]...)
+	}
+	if now.Sub(bo.judgedAt) > reportTime {
+		return su
+	}
+	for _, id := range bo.close {
+		su.Suspects = append(binary.BigEndian.AppendUint64(su.Suspects, uint64(id)), bo.completionDigest(id, su.Salt))
+	}
+	return su
+}
+
+// news returns the crashes that are passed on, the oldest first.
+func (bo *Book) news(now time.Time) []*record {
+	var out []*record
 	for _, re := range bo.crashes {
 		if bo.isNews(now, re.latest()) {
-			su.Servers = binary.BigEndian.AppendUint32(su.Servers, number(re.server))
-			su.Servers = binary.BigEndian.AppendUint32(su.Servers, re.digest())
-		}
-	}
-	if digests := bo.completionDigests(now); digests != [completionShares]uint32{} {
-		for _, di := range digests {
-			su.Completed = binary.BigEndian.AppendUint32(su.Completed, di)
+			out = append(out, re)
 		}
 	}
-	return su
+	slices.SortFunc(out, (*record).compare)
+	return out
+}
+
+// compare orders records by the times of their losses.
+func (re *record) compare(other *record) int {
+	return cmp.Or(re.latest().Compare(other.latest()), cmp.Compare(number(re.server), number(other.server)))
 }
 
 // number returns a short number for an incarnation of a server.
@@ -77,65 +104,91 @@
 	return uint32(xxhash.Sum64String(string(sv.ID)) ^ uint64(sv.StartUnixMS)*0x9e3779b97f4a7c15>>32)
 }
 
-// digest stands for the losses of a server and for whether it survived one.
-func (re *record) digest() uint32 {
-	out := uint64(0)
+// digest returns a byte that stands for an id.
+func digest(salt uint32, id uint64) byte {
+	var buf [12]byte
+	binary.BigEndian.PutUint64(buf[:], id)
+	binary.BigEndian.PutUint32(buf[8:], salt)
+	return byte(xxhash.Sum64(buf[:]))
+}
+
+// digests stand for the losses of a server, and the first one also for whether it survived one.
+func (re *record) digests(salt uint32) (out [lossShares]byte) {
 	for id := range re.losses {
-		out ^= uint64(id) * 0x9e3779b97f4a7c15
+		out[id%lossShares] ^= digest(salt, uint64(id))
 	}
 	if !re.heardNews.IsZero() {
-		out++
+		out[0]++
 	}
-	return uint32(out>>32 ^ out)
+	return out
 }
 
-func (bo *Book) completionDigests(now time.Time) (out [completionShares]uint32) {
-	for _, list := range bo.completed {
-		for _, co := range list {
-			if bo.isNews(now, co.at) {
-				hash := co.id * 0x9e3779b97f4a7c15
-				out[co.share()] ^= uint32(hash >> 32)
-			}
-		}
+// completionDigest stands for the completions with a key.
+func (bo *Book) completionDigest(ke Key, salt uint32) (out byte) {
+	for _, co := range bo.completed[ke] {
+		out ^= digest(salt, co.id)
 	}
 	return out
 }
 
-func (co *completion) share() uint64 { return co.id % completionShares }
-
-// Report returns what a peer lacks by its summary: news, and what supports the verdicts if it blocks
-// other keys.
+// Report returns what a peer lacks by its summary: news, completions with keys that it is about to
+// block, and what supports the verdicts if it blocks other keys.
 func (bo *Book) Report(now time.Time, su Summary) Report {
 	bo.Judge(now)
-	var re Report
-	known := map[uint32]uint32{}
-	for raw := su.Servers; len(raw) >= 2*digestBytes; raw = raw[2*digestBytes:] {
-		known[binary.BigEndian.Uint32(raw)] = binary.BigEndian.Uint32(raw[digestBytes:])
-	}
 	bytes := min(maxReportBytes, bo.allowance(now))
-	for _, rc := range bo.crashes {
-		have, ok := known[number(rc.server)]
-		if !bo.isNews(now, rc.latest()) || (ok && have == rc.digest()) || bytes <= 0 {
-			continue
-		}
-		sv := Server{Server: rc.server}
-		if !rc.heardNews.IsZero() {
-			sv.HeardAge = now.Sub(rc.heardAt)
+	re := Report{Completed: bo.missing(now, &su, bytes/completedShare)}
+	spent := len(re.Completed)
+	known := su.digests()
+	for _, rc := range bo.news(now) {
+		if spent >= bytes {
+			break
 		}
-		for _, lo := range rc.losses {
-			sv.Lost = appendLoss(sv.Lost, now, &lo)
+		if sv, lacks := rc.missing(now, su.Salt, known[number(rc.server)]); lacks {
+			spent += len(sv.Lost) + len(sv.ID)
+			re.Servers = append(re.Servers, sv)
 		}
-		bytes -= len(sv.Lost) + len(sv.ID)
-		re.Servers = append(re.Servers, sv)
 	}
-	re.Completed = bo.missing(now, su.Completed, bytes)
-	bo.spent += len(re.Completed) + min(maxReportBytes, bo.allowance(now)) - bytes
+	bo.spent += spent
 	if len(bo.verdicts) > 0 && su.Verdicts != bo.Digest() {
 		bo.addEvidence(now, &re)
 	}
 	return re
 }
 
+// digests returns the digests of a summary by the numbers of the servers.
+func (su *Summary) digests() map[uint32][lossShares]byte {
+	out := map[uint32][lossShares]byte{}
+	for raw := su.Servers; len(raw) >= numberBytes+lossShares; raw = raw[numberBytes+lossShares:] {
+		out[binary.BigEndian.Uint32(raw)] = [lossShares]byte(raw[numberBytes:])
+	}
+	return out
+}
+
+// missing returns what a peer lacks of a server by its digests, and whether it lacks anything.
+func (re *record) missing(now time.Time, salt uint32, known [lossShares]byte) (Server, bool) {
+	own := re.digests(salt)
+	if own == known {
+		return Server{}, false
+	}
+	sv := Server{Server: re.server}
+	if !re.heardNews.IsZero() {
+		sv.HeardAge = now.Sub(re.heardAt)
+	}
+	for _, lo := range re.inOrder() {
+		if share := lo.Request % lossShares; own[share] != known[share] {
+			sv.Lost = appendLoss(sv.Lost, now, &lo)
+		}
+	}
+	return sv, true
+}
+
+// inOrder returns the losses in the order of their times.
+func (re *record) inOrder() []Loss {
+	return slices.SortedFunc(maps.Values(re.losses), func(one, two Loss) int {
+		return cmp.Or(one.At.Compare(two.At), cmp.Compare(one.Request, two.Request))
+	})
+}
+
 // allowance returns the number of bytes that reports may have now.
 func (bo *Book) allowance(now time.Time) int {
 	gained := int(now.Sub(bo.refilledAt).Seconds() * reportRate)
@@ -145,20 +198,16 @@
 	return reportBurst - bo.spent
 }
 
-// missing returns the completions that a peer lacks by its digests, up to a number of bytes.
-func (bo *Book) missing(now time.Time, digests []byte, limit int) []byte {
-	var lacks [completionShares]bool
-	for num, di := range bo.completionDigests(now) {
-		have := uint32(0)
-		if at := num * digestBytes; len(digests) >= at+digestBytes {
-			have = binary.BigEndian.Uint32(digests[at:])
-		}
-		lacks[num] = di != have
-	}
+// missing returns the completions with a peer's suspects that it lacks, up to a number of bytes.
+func (bo *Book) missing(now time.Time, su *Summary, limit int) []byte {
 	var out []byte
-	for id, list := range bo.completed {
-		for _, co := range list {
-			if bo.isNews(now, co.at) && lacks[co.share()] && len(out) < limit {
+	for raw := su.Suspects; len(raw) > keyBytes; raw = raw[keyBytes+1:] {
+		id := Key(binary.BigEndian.Uint64(raw))
+		if bo.completionDigest(id, su.Salt) == raw[keyBytes] {
+			continue
+		}
+		for _, co := range bo.completed[id] {
+			if len(out)+completionBytes <= limit {
 				out = appendCompletion(out, now, id, &co)
 			}
 		}
@@ -169,14 +218,14 @@
 // addEvidence adds what supports the verdicts. Of the requests that were lost, it has the blocked
 // key alone.
 func (bo *Book) addEvidence(now time.Time, re *Report) {
-	for id, ve := range bo.verdicts {
-		if bo.isNews(now, ve.since) { // Peers come to it by themselves.
+	for _, id := range slices.Sorted(maps.Keys(bo.verdicts)) {
+		if bo.isNews(now, bo.verdicts[id].since) { // Peers come to it by themselves.
 			continue
 		}
 		list := bo.under(id, nil, now)
 		for _, ev := range list[max(0, len(list)-maxSupporting):] {
 			sv := Server{Server: ev.record.server}
-			for _, lo := range ev.record.losses {
+			for _, lo := range ev.record.inOrder() {
 				if lo.place(id) < 0 {
 					continue
 				}
--- a/internal/rule/crash/verdict.go
+++ b/internal/rule/crash/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -251,26 +252,30 @@
 		}
 	}
 	suspects := bo.suspects()
+	bo.close = slices.DeleteFunc(slices.Clone(suspects), func(id Key) bool { return !bo.isClose(now, id) })
 	bo.pause = time.Duration(len(suspects)) * suspectPause
 	bo.apply(now, bo.guilty(suspects, settled))
 }
 
-// suspects returns the keys under which there are enough crashes, those with most of them if they
-// are many.
+// isClose reports whether a key that servers have crashed under lately is about to be blocked.
+func (bo *Book) isClose(now time.Time, ke Key) bool {
+	list := bo.under(ke, nil, now)
+	return len(list) > 0 && now.Sub(list[len(list)-1].at) <= reportTime && bo.scoreOf(ke, list) >= ke.blockScore()-1
+}
+
+// suspects returns the keys under which there are enough crashes, or one less, those with most of
+// them if they are many.
 func (bo *Book) suspects() []Key {
 	var out []Key
 	for id, list := range bo.byKey {
-		if len(list) >= id.blockScore() {
+		if len(list) >= id.blockScore()-1 {
 			out = append(out, id)
 		}
 	}
-	if len(out) > maxSuspects {
-		slices.SortFunc(out, func(one, two Key) int {
-			return cmp.Or(cmp.Compare(len(bo.byKey[two]), len(bo.byKey[one])), cmp.Compare(one, two))
-		})
-		out = out[:maxSuspects]
-	}
-	return out
+	slices.SortFunc(out, func(one, two Key) int {
+		return cmp.Or(cmp.Compare(len(bo.byKey[two]), len(bo.byKey[one])), cmp.Compare(one, two))
+	})
+	return out[:min(len(out), maxSuspects)]
 }
 
 // guilty returns the keys to block, with the number of crashes that each explains.
@@ -306,7 +311,7 @@
 // spare returns a part that would not be blocked after all the other keys: it was picked before
 // them for crashes that they explain.
 func (bo *Book) spare(guilty map[Key]int, explained explanations, settled time.Time) (Key, bool) {
-	for id := range guilty {
+	for _, id := range slices.Sorted(maps.Keys(guilty)) {
 		if !id.IsRequest() && !bo.isGuilty(id, bo.under(id, explained, settled), explained, settled) {
 			return id, true
 		}
