crash: a node out of touch with its peers blocks nothing more

Cause: a verdict counts on the others' reports, which reach all nodes within settleTime. A node that is cut off right after crashes has the losses and none of the completions, and came to a verdict of its own.

After 0.6 s without a report a node adds no verdict, and for as long once it is in touch again; those that it has stay. After ten seconds it goes by what it knows, as its peers may be gone. Nodes without peers are as before. TestNodeOutOfTouch failed before. TestNodesAgree now exchanges each 300 ms, as nodes do, instead of twice in 2.5 s; what it asserts is the same.

--- a/internal/rule/crash/crash.go
+++ b/internal/rule/crash/crash.go
@@ -114,6 +114,9 @@
 	// spent is the number of bytes of reports that are not refilled yet, as of refilledAt.
 	spent      int
 	refilledAt time.Time
+	// heardFromPeersAt is the time of the latest report of a peer, and inTouchSince that of the first one
+	// after a gap. Both are zero before.
+	heardFromPeersAt, inTouchSince time.Time
 	// lastSalt is that of the latest summary.
 	lastSalt uint32
 }
--- a/internal/rule/crash/crash_test.go
+++ b/internal/rule/crash/crash_test.go
@@ -191,6 +191,50 @@
 	}
 }
 
+// TestNodeOutOfTouch guards against verdicts of a node that is cut off from its peers, and so lacks what they
+// completed.
+func TestNodeOutOfTouch(t *testing.T) {
+	own, peer := newLog(1), newLog(2)
+	wait := func(du time.Duration, inTouch bool) {
+		for until := own.now.Add(du); own.now.Before(until); {
+			own.after(100 * ms).blocks(topic)
+			peer.after(100 * ms).blocks(topic)
+			if inTouch {
+				own.tell(peer)
+				peer.tell(own)
+			}
+		}
+	}
+	wait(time.Second, true)
+	for range 4 {
+		own.crash(prompt(topic))
+		wait(200*ms, true)
+	}
+	for range 4 {
+		peer.complete(topic)
+		wait(200*ms, false)
+	}
+	wait(3*time.Second, false)
+	if own.blocks(topic) {
+		t.Error("have the part blocked while the node is cut off")
+	}
+	wait(3*time.Second, true)
+	if own.blocks(topic) {
+		t.Error("have the part blocked that a peer completed")
+	}
+	own.crashes(4, 300*ms, prompt(guilty))
+	wait(2*time.Second, false)
+	wait(3*time.Second, true)
+	if !own.blocks(guilty) || !peer.blocks(guilty) {
+		t.Error("have the guilty part sent once the nodes are in touch again")
+	}
+	own.crashes(4, 300*ms, prompt(shared))
+	wait(12*time.Second, false)
+	if !own.blocks(shared) {
+		t.Error("have the part sent by a node whose peers are gone")
+	}
+}
+
 // TestReportsHaveCompletions guards against completions that wait behind losses, or that are forgotten as they
 // came before the report of the crash, while sound requests are refused.
 func TestReportsHaveCompletions(t *testing.T) {
@@ -258,8 +302,9 @@
 			}
 		}
 	}
-	tell(1100 * ms)
-	tell(2500 * ms)
+	for at := 1100 * ms; at <= 2600*ms; at += 300 * ms {
+		tell(at)
+	}
 	for num, lo := range nodes {
 		if !lo.blocks(guilty) || lo.blocks(shared) {
 			t.Errorf("node %d: have %t for the guilty part and %t for the shared one, want only the first blocked", num, lo.blocks(guilty), lo.blocks(shared))
--- a/internal/rule/crash/report.go
+++ b/internal/rule/crash/report.go
@@ -276,6 +276,10 @@
 
 // Merge records what a peer reports. Incomplete entries are left out.
 func (bo *Book) Merge(now time.Time, re Report) {
+	if at := bo.heardFromPeersAt; !at.IsZero() && now.Sub(at) > touchGap {
+		bo.inTouchSince = now
+	}
+	bo.heardFromPeersAt = now
 	age := func(raw []byte) time.Time {
 		return now.Add(-time.Duration(binary.BigEndian.Uint32(raw)) * time.Millisecond)
 	}
--- a/internal/rule/crash/verdict.go
+++ b/internal/rule/crash/verdict.go
@@ -21,6 +21,10 @@
 	// settleTime is the age from which on a crash counts. By then the other nodes have reported what
 	// they lost in it, and whether the server lives on.
 	settleTime = 1200 * time.Millisecond
+	// touchGap is the time without reports from which on a node is out of touch. It blocks nothing more
+	// then, and for as long after: it lacks what others lost and completed. After reportTime it
+	// goes by what it knows, since its peers may be gone.
+	touchGap = 600 * time.Millisecond
 	// burstTime is the time in which fewer crashes count than block a key: servers that end together
 	// have lost power or the network, and their requests have nothing to do with it.
 	burstTime = 100 * time.Millisecond
@@ -366,6 +370,10 @@
 	}
 	for id, count := range guilty {
 		ve := bo.verdicts[id]
+		if ve == nil && !bo.inTouch(now) {
+			bo.changed = true // It is judged again.
+			continue
+		}
 		if ve == nil {
 			ve = &verdict{since: now}
 			bo.verdicts[id] = ve
@@ -375,6 +383,15 @@
 	}
 }
 
+// inTouch reports whether this node knows what its peers know.
+func (bo *Book) inTouch(now time.Time) bool {
+	silence := now.Sub(bo.heardFromPeersAt)
+	if bo.heardFromPeersAt.IsZero() || silence > reportTime {
+		return true
+	}
+	return silence <= touchGap && now.Sub(bo.inTouchSince) >= touchGap
+}
+
 // trialTime returns when one request may try a blocked key again. The delay grows with the time
 // over which servers have crashed under it.
 func trialTime(crashes []event) time.Time {
