crash: which requests and parts explain crashes that several share

Causes, each traced from the records of one node: - A request X that is lost beside the repeated one R is sent again, and lost again with another server. R and X have a part in common, and "two different requests, four crashes" blocked it. Those lost beside the only repeated request are no witnesses against a part now. - A crash that a completion had cleared still counted as a second request under a part. - Where several crash all servers within a second, the others explain all crashes of a request, or a part that is blocked later does, and it was sent on. Four crashes now block a request whatever explains them, and one that nothing else explains keeps it blocked. A sound request is that unlucky only if it has come four times to servers that fell and was completed by none. - Three completions cleared a request under which eight servers had crashed within seconds. Its score may be higher within ten seconds of a crash; later, and for parts, it is as before.

--- a/internal/rule/crash/crash_test.go
+++ b/internal/rule/crash/crash_test.go
@@ -191,6 +191,103 @@
 	}
 }
 
+func (lo *log) blocksRequest(content uint64) bool {
+	_, ok := lo.Blocked(lo.now, crash.Keys(content, nil))
+	return ok
+}
+
+// TestBystandersAreServed guards against parts that are blocked for a repeated request and others that
+// share a part with it and were lost beside it.
+func TestBystandersAreServed(t *testing.T) {
+	const repeated, other, early = 7, 8, 9
+	for _, tt := range []struct {
+		name string
+		play func(*log)
+	}{
+		{"lost beside it and once more elsewhere", func(lo *log) {
+			for _, contents := range [][]uint64{{repeated}, {repeated}, {repeated, other}, {other}} {
+				lo.after(300*ms).lose(0, prompt(topic), contents...)
+			}
+		}},
+		{"lost alone before a completion", func(lo *log) {
+			lo.lose(0, prompt(topic), early)
+			lo.after(300 * ms).complete(topic)
+			for _, contents := range [][]uint64{{repeated}, {repeated}, {repeated}, {repeated, other}, {repeated, other}} {
+				lo.after(300*ms).lose(0, prompt(topic), contents...)
+			}
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			lo := newLog(1)
+			tt.play(lo)
+			if lo.after(1500 * ms); lo.blocks(topic) || !lo.blocksRequest(repeated) {
+				t.Errorf("have %t for the part and %t for the request, want only the request blocked", lo.blocks(topic), lo.blocksRequest(repeated))
+			}
+		})
+	}
+}
+
+// TestRequestsThatShareCrashes guards against repeated requests that are sent on since other requests
+// or parts explain their crashes.
+func TestRequestsThatShareCrashes(t *testing.T) {
+	const one, two, three = 7, 8, 9
+	t.Run("all of four crashes", func(t *testing.T) {
+		lo := newLog(1)
+		for num := range 6 {
+			lo.after(300*ms).lose(0, nil, one)
+			if num < 4 {
+				lo.lose(lo.servers, nil, two)
+			}
+			if num < 3 {
+				lo.lose(lo.servers, nil, three)
+			}
+		}
+		if lo.after(1500 * ms); !lo.blocksRequest(one) || !lo.blocksRequest(two) || lo.blocksRequest(three) {
+			t.Errorf("have %t, %t and %t, want the request under three crashes sent, the others blocked", lo.blocksRequest(one), lo.blocksRequest(two), lo.blocksRequest(three))
+		}
+	})
+	t.Run("a part that is blocked later", func(t *testing.T) {
+		lo := newLog(1)
+		for num := range 3 {
+			lo.after(300*ms).lose(0, prompt(shared), one)
+			if num > 0 {
+				lo.lose(lo.servers, prompt(guilty), uint64(100+num))
+			}
+		}
+		if lo.after(1500 * ms); !lo.blocksRequest(one) {
+			t.Fatal("have the request sent, want it blocked")
+		}
+		lo.crashes(4, 300*ms, prompt(guilty)).after(1500 * ms)
+		if !lo.blocks(guilty) || !lo.blocksRequest(one) {
+			t.Errorf("have %t for the part and %t for the request, want both blocked", lo.blocks(guilty), lo.blocksRequest(one))
+		}
+	})
+}
+
+// TestRequestsThatSometimesComplete guards against a repeated request that a few completions among many
+// crashes clear.
+func TestRequestsThatSometimesComplete(t *testing.T) {
+	const repeated = 7
+	for _, tt := range []struct {
+		completions int
+		after       time.Duration
+		want        bool
+	}{{3, 0, true}, {6, 0, false}, {2, time.Minute, true}, {3, time.Minute, false}} {
+		lo := newLog(1)
+		for range 8 {
+			lo.after(300*ms).lose(0, nil, repeated)
+		}
+		lo.after(1500 * ms).blocksRequest(repeated)
+		for range tt.completions {
+			lo.after(tt.after).Completed(lo.now, crash.Keys(repeated, nil))
+			lo.after(10 * ms)
+		}
+		if have := lo.after(200 * ms).blocksRequest(repeated); have != tt.want {
+			t.Errorf("%d completions %s apart: have blocked %t, want %t", tt.completions, tt.after, have, tt.want)
+		}
+	}
+}
+
 // TestNodeOutOfTouch guards against verdicts of a node that is cut off from its peers, and so lacks what they
 // completed.
 func TestNodeOutOfTouch(t *testing.T) {
--- a/internal/rule/crash/verdict.go
+++ b/internal/rule/crash/verdict.go
@@ -9,15 +9,19 @@
 
 const (
 	// partScore and requestScore are the scores at which a part and a request are blocked, and
-	// spareScore is what a score may have more, so that a few completions end a verdict.
-	partScore, requestScore, spareScore = 4, 3, 2
+	// spareScore is what a score may have more, so that a few completions end a verdict. That of a
+	// request may have freshSpareScore more within reportTime of a crash.
+	partScore, requestScore, spareScore, freshSpareScore = 4, 3, 2, 5
 	// contentLimit is the number of crashes under one request that count for a part of its prompt.
 	contentLimit = 3
 	// minContents is the number of different requests that have to be lost with a part.
 	minContents = 2
-	// keepCrashes is the number of crashes that nothing else explains from which on a key stays
-	// blocked. One less than its score is needed at first.
-	keepCrashes = 2
+	// keepPart and keepRequest are the numbers of crashes that nothing else explains from which on a
+	// part and a request stay blocked. One less than the score is needed at first.
+	keepPart, keepRequest = 2, 1
+	// certainScore is the score from which on a request is blocked even if other keys explain its
+	// crashes: where several crash all servers at once, they share most of the crashes.
+	certainScore = requestScore + 1
 	// settleTime is the age from which on a crash counts. By then the other nodes have reported what
 	// they lost in it, and whether the server lives on.
 	settleTime = 1200 * time.Millisecond
@@ -52,6 +56,23 @@
 	return partScore
 }
 
+// maxScore returns the bound of a score. That of a request is higher at first, as some of its
+// attempts may complete beside those that crash servers.
+func (ke Key) maxScore() int {
+	if ke.IsRequest() {
+		return requestScore + freshSpareScore
+	}
+	return partScore + spareScore
+}
+
+// keepCrashes returns the number of crashes that keep a key blocked.
+func (ke Key) keepCrashes() int {
+	if ke.IsRequest() {
+		return keepRequest
+	}
+	return keepPart
+}
+
 // verdict is the state of a blocked key.
 type verdict struct {
 	since   time.Time
@@ -190,11 +211,29 @@
 	return out
 }
 
+// uncleared returns the crashes since the score was last zero.
+func (bo *Book) uncleared(ke Key, crashes []event) []event {
+	first, next := 0, 0
+	bo.walk(ke, crashes, bo.completed[ke], func(co *completion, score int) {
+		if co == nil {
+			next++
+		}
+		if score == 0 {
+			first = next
+		}
+	})
+	return crashes[first:]
+}
+
 // walk calls visit with the score after each crash and each completion, in the order of their
 // times. The completion is nil for a crash.
 func (bo *Book) walk(ke Key, crashes []event, completed []completion, visit func(co *completion, score int)) {
 	score, next := 0, 0
+	var last time.Time
 	complete := func() {
+		if completed[next].at.Sub(last) > reportTime {
+			score = min(score, ke.blockScore()+spareScore)
+		}
 		score = max(0, score-1)
 		visit(&completed[next], score)
 		next++
@@ -209,7 +248,7 @@
 		}
 		if len(burst) < bo.burstLimit(ke, ev.at, crashes) {
 			burst = append(burst, ev.at)
-			score = min(ke.blockScore()+spareScore, score+1)
+			score, last = min(ke.maxScore(), score+1), ev.at
 		}
 		visit(nil, score)
 	}
@@ -288,12 +327,23 @@
 		out, explained := bo.explain(suspects, settled)
 		spare, found := bo.spare(out, explained, settled)
 		if !found {
+			bo.addCertain(out, suspects, settled)
 			return out
 		}
 		suspects = slices.DeleteFunc(suspects, func(id Key) bool { return id == spare })
 	}
 }
 
+// addCertain adds the requests under which so many servers have crashed that they are blocked even
+// though other keys explain these crashes.
+func (bo *Book) addCertain(guilty map[Key]int, suspects []Key, settled time.Time) {
+	for _, id := range suspects {
+		if id.IsRequest() && guilty[id] == 0 && len(guilty) < maxVerdicts && bo.score(id, nil, settled) >= certainScore {
+			guilty[id] = len(bo.under(id, nil, settled))
+		}
+	}
+}
+
 // explain picks one key after the other, each for crashes that those before it don't explain.
 func (bo *Book) explain(suspects []Key, settled time.Time) (map[Key]int, explanations) {
 	out, explained := map[Key]int{}, explanations{}
@@ -352,13 +402,48 @@
 func (bo *Book) isGuilty(id Key, unexplained []event, explained explanations, settled time.Time) bool {
 	need := id.blockScore() - 1
 	if bo.verdicts[id] != nil {
-		need = keepCrashes
+		need = id.keepCrashes()
 	}
 	if len(unexplained) < need || bo.scoreOf(id, unexplained) < need || bo.score(id, nil, settled) < id.blockScore() {
 		return false
 	}
-	return id.IsRequest() || countContents(unexplained) >= minContents ||
-		countContents(bo.under(id, explained.byRequests(), settled)) > minContents
+	if id.IsRequest() {
+		return true
+	}
+	if countContents(bo.uncleared(id, unexplained)) >= minContents && hasWitness(bo.uncleared(id, bo.under(id, nil, settled))) {
+		return true
+	}
+	return countContents(bo.uncleared(id, bo.under(id, explained.byRequests(), settled))) > minContents
+}
+
+// hasWitness reports whether one request that came again doesn't explain all crashes under a part.
+// Others that were lost beside it had to be sent again, and were easily lost once more.
+func hasWitness(list []event) bool {
+	crashes, repeated := map[uint64]int{}, map[uint64]bool{}
+	for _, ev := range list {
+		for content := range ev.contents {
+			if crashes[content]++; crashes[content] >= requestScore {
+				repeated[content] = true
+			}
+		}
+	}
+	if len(repeated) != 1 {
+		return true
+	}
+	beside := map[uint64]bool{}
+	for _, ev := range list {
+		for content := range repeated {
+			if ev.contents[content] {
+				maps.Copy(beside, ev.contents)
+			}
+		}
+	}
+	for content := range crashes {
+		if !beside[content] {
+			return true
+		}
+	}
+	return false
 }
 
 func (bo *Book) apply(now time.Time, guilty map[Key]int) {
