--- a/internal/rule/crash/crash.go
+++ b/internal/rule/crash/crash.go
@@ -96,8 +96,8 @@
 	changes   []Change
 	// crashedAt holds the times of all crashes as of the last judgement, in order.
 	crashedAt []time.Time
-	// close holds the keys that are close to being blocked as of the last judgement.
-	close []Key
+	// atRisk holds the suspects that are close to being blocked as of the last judgement.
+	atRisk []Key
 	// changed is set if something is new since the last judgement, at judgedAt, and unsettledUntil
 	// is when the latest crash begins to count.
 	changed                  bool
--- a/internal/rule/crash/crash_test.go
+++ b/internal/rule/crash/crash_test.go
@@ -211,7 +211,7 @@
 		}},
 		{"lost alone before a completion", func(lo *log) {
 			lo.lose(0, prompt(topic), early)
-			lo.after(300 * ms).complete(topic)
+			lo.after(300 * ms).complete(topic).after(2 * time.Second)
 			for _, contents := range [][]uint64{{repeated}, {repeated}, {repeated}, {repeated, other}, {repeated, other}} {
 				lo.after(300*ms).lose(0, prompt(topic), contents...)
 			}
@@ -350,7 +350,10 @@
 	}
 	own.after(200 * ms).blocks(topic)
 	peer.after(200 * ms).tell(own)
-	if own.after(time.Second).blocks(topic) {
+	for range 4 {
+		own.after(300*ms).Merge(own.now, crash.Report{}) // Keeps it in touch.
+	}
+	if own.blocks(topic) {
 		t.Error("have the part blocked that the peer completed after the crashes")
 	}
 }
--- a/internal/rule/crash/report.go
+++ b/internal/rule/crash/report.go
@@ -76,7 +76,7 @@
 	if now.Sub(bo.judgedAt) > reportTime {
 		return su
 	}
-	for _, id := range bo.close {
+	for _, id := range bo.atRisk {
 		su.Suspects = append(binary.BigEndian.AppendUint64(su.Suspects, uint64(id)), bo.completionDigest(id, su.Salt))
 	}
 	return su
