entry: a newer configuration reaches each node within the bound

Cause, of three kinds. A node that began to read the store, since its readers had failed, read all versions since it had last read, one after the other. Peers that had sent too much left the configuration out of their replies and said nothing; exchanges with a reader held one of two fetches without need, so that two readers that hung held both. And the age of the servers' list stood for that of the configuration, whose poll waited 4 s.

TestStreamsAgeApart guards the third.

Fix: a node that begins to read takes the newest record alone, also when a page doesn't reach the end. One loop fetches from peers that report the newest version, the next one at once if a peer defers. Each stream has its own age, in reports too.

--- a/internal/node/entry/config.go
+++ b/internal/node/entry/config.go
@@ -3,12 +3,12 @@
 import (
 	"bytes"
 	"compress/flate"
+	"encoding/base64"
 	"io"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/time/rate"
 
 	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/rule/fault"
@@ -20,12 +20,11 @@
 	// maxConfigBytes bounds a configuration that a peer sends, once it is unpacked.
 	maxConfigBytes = 16 << 20
 	// configBytesPerSecond bounds what a node sends in configurations to its peers, so that
-	// reports still get through on a link of 10 Mbit/s. A peer that gets none asks again, here
-	// or at a peer that has got it meanwhile.
+	// reports still get through on a link of 10 Mbit/s. A peer that gets none asks another node.
 	configBytesPerSecond = 512 << 10
-	// maxConfigFetches bounds the exchanges in progress that ask for the configuration. The
-	// second one is for a peer that doesn't answer.
-	maxConfigFetches = 2
+	// configBurst is how much earlier than at that rate a node may send: a few configurations at
+	// once, so that each of them arrives before its peer gives up.
+	configBurst = 250 * time.Millisecond
 )
 
 // activeConfig is the configuration in force.
@@ -49,8 +48,26 @@
 	return ac.Version
 }
 
-func newConfigLimiter() *rate.Limiter {
-	return rate.NewLimiter(configBytesPerSecond, configBytesPerSecond)
+// configBudget bounds what a node sends in configurations. One that is larger than the burst is
+// sent whole, and the next ones wait the longer.
+type configBudget struct {
+	mu sync.Mutex
+	// spentTo is the time at which what has been sent would have been sent at the rate.
+	spentTo time.Time
+}
+
+// take reports whether a message of size bytes may be sent now.
+func (cb *configBudget) take(now time.Time, size int) bool {
+	cb.mu.Lock()
+	defer cb.mu.Unlock()
+	if earliest := now.Add(-configBurst); cb.spentTo.Before(earliest) {
+		cb.spentTo = earliest
+	}
+	if cb.spentTo.After(now) {
+		return false
+	}
+	cb.spentTo = cb.spentTo.Add(time.Duration(float64(size) / configBytesPerSecond * float64(time.Second)))
+	return true
 }
 
 // pack compresses a configuration.
@@ -77,35 +94,6 @@
 	return raw, nil
 }
 
-// claimConfigFetch returns whether the exchange with a peer asks for its configuration: if the
-// peer is known to have a newer one, or is the reader on which this node relies. endConfigFetch
-// has to follow if it does.
-func (no *Node) claimConfigFetch(id units.VMID) pulse.ConfigRequest {
-	no.mu.Lock()
-	defer no.mu.Unlock()
-	pe := no.peers[id]
-	mayBeNewer := pe == nil || id == no.watch.Reader() || pe.config > no.config.Load().version()
-	if !mayBeNewer || no.configFetches >= maxConfigFetches {
-		return pulse.ConfigNone
-	}
-	no.configFetches++
-	return pulse.ConfigDeflate
-}
-
-// canFetchConfig reports whether a version is newer than the one in force, and another exchange
-// may ask for it.
-func (no *Node) canFetchConfig(version units.Version) bool {
-	no.mu.Lock()
-	defer no.mu.Unlock()
-	return version > no.config.Load().version() && no.configFetches < maxConfigFetches
-}
-
-func (no *Node) endConfigFetch() {
-	no.mu.Lock()
-	defer no.mu.Unlock()
-	no.configFetches--
-}
-
 // applyPeerConfig puts the configuration in a peer's reply in force, if there is one.
 func (no *Node) applyPeerConfig(re *pulse.Reply) {
 	raw := re.RawConfig
@@ -122,8 +110,8 @@
 	}
 }
 
-// addConfig adds a configuration to a reply in the encoding that the peer asks for, unless this
-// node has sent too much of it lately.
+// addConfig adds a configuration to a reply in the encoding that the peer asks for. If this node
+// has sent too much of it lately, the reply says so.
 func (no *Node) addConfig(out *pulse.Reply, fo *activeConfig, want pulse.ConfigRequest) {
 	if want == pulse.ConfigNone {
 		return
@@ -132,8 +120,9 @@
 	if want == pulse.ConfigDeflate {
 		body = fo.pack()
 	}
-	if !no.configLimiter.AllowN(time.Now(), min(len(body), configBytesPerSecond)) {
+	if !no.configBudget.take(time.Now(), base64.StdEncoding.EncodedLen(len(body))) {
 		no.exchanges.configsDeferred.Add(1)
+		out.ConfigDeferred = true
 		return
 	}
 	no.exchanges.configsSent.Add(1)
--- a/internal/node/entry/config_test.go
+++ b/internal/node/entry/config_test.go
@@ -136,6 +136,7 @@
 	for num, no := range nodes {
 		wg.Go(func() { _ = pulse.Serve(ctx, links[num], no, &no.exchanges.traffic) })
 		wg.Go(func() { no.exchangeLoop(ctx) })
+		wg.Go(func() { no.fetchConfigs(ctx) })
 	}
 	return nodes
 }
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -14,7 +14,6 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
-	"golang.org/x/time/rate"
 
 	"lycheepick/internal/edge/door"
 	"lycheepick/internal/edge/pause"
@@ -115,20 +114,18 @@
 	serversEra, maxPeerEra units.Era
 	peers                  map[units.VMID]*peer
 	members                *permit.Members
-	// configFetches is the number of exchanges in progress that ask for the configuration.
-	configFetches int
-	usageBook     *usage.Counter
-	clock         *clock.Clock
-	offered       map[units.TargetID]pulse.Demand
-	peerWork      map[units.VMID]*peerWork
+	usageBook              *usage.Counter
+	clock                  *clock.Clock
+	offered                map[units.TargetID]pulse.Demand
+	peerWork               map[units.VMID]*peerWork
 
-	storeHealth storeHealth
-	exchanges   exchangeStats
-	peerClient  *pulse.Client
-	origins     *origins
-	// configLimiter bounds the bytes of configurations sent to peers.
-	configLimiter *rate.Limiter
-	leader        leaderState
+	storeHealth  storeHealth
+	exchanges    exchangeStats
+	peerClient   peerCaller
+	origins      *origins
+	configBudget configBudget
+	fetch        configFetch
+	leader       leaderState
 }
 
 // New returns a node; Run starts it.
@@ -143,7 +140,7 @@
 	}
 	no.members = permit.NewMembers(set.VM.ID)
 	no.peerClient = pulse.NewClient(&no.exchanges.traffic)
-	no.configLimiter = newConfigLimiter()
+	no.fetch.news = make(chan struct{}, 1)
 	no.storeHealth.reads = map[int]context.CancelFunc{}
 	no.relay = relay.New(log, set.VM.Zone, no, pool.Tolerance{
 		Window: set.Limits.Window(), Share: set.Limits.QuotaShare, Fixed: set.Limits.QuotaFixed,
@@ -221,6 +218,7 @@
 	wg.Go(func() { no.followConfig(work) })
 	wg.Go(func() { no.followServers(work) })
 	wg.Go(func() { no.exchangeLoop(work) })
+	wg.Go(func() { no.fetchConfigs(work) })
 	wg.Go(func() { no.origins.run(work) })
 	wg.Go(func() { no.tick(work) })
 	if no.platform.ReportsUsage || no.platform.OrdersServers {
--- a/internal/node/entry/follow.go
+++ b/internal/node/entry/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,6 +11,7 @@
 	"lycheepick/internal/plat/stream"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/units"
+	"lycheepick/internal/rule/watch"
 )
 
 const (
@@ -17,7 +19,7 @@
 	// list of servers waits for a new record. They bound the time to detect a silent store if
 	// no peer reports it. A reader's list is as old as its last answer, so serversReadWait is
 	// below the age (see package watch) from which other nodes read the store themselves.
-	configReadWait  = 4 * time.Second
+	configReadWait  = 800 * time.Millisecond
 	serversReadWait = 800 * time.Millisecond
 	// readerCheckPeriod is the interval at which a node that does not read the store checks
 	// whether it has to.
@@ -29,18 +31,19 @@
 	storeRetryDelay = 250 * time.Millisecond
 )
 
-// mustRead reports whether this node has to read the store's streams itself now.
-func (no *Node) mustRead() bool {
+// mustRead reports whether this node has to read a stream of the store itself now.
+func (no *Node) mustRead(st watch.Stream) bool {
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	return no.watch.ShouldRead(time.Now())
+	return no.watch.ShouldRead(st, time.Now())
 }
 
 // followConfig tails the operators' records and applies each new configuration.
 func (no *Node) followConfig(ctx context.Context) {
-	next := units.Offset(-1)
+	next, loaded := units.Offset(-1), false
 	for ctx.Err() == nil {
-		if next >= 0 && !no.mustRead() {
+		if loaded && !no.mustRead(watch.Config) {
+			next = -1 // Reading on from here later would bring all versions since.
 			if !pause.For(ctx, readerCheckPeriod) {
 				return
 			}
@@ -54,6 +57,7 @@
 			}
 			return err
 		})
+		loaded = loaded || next >= 0
 		if (stale || err != nil) && !pause.For(ctx, storeRetryDelay) {
 			return
 		}
@@ -61,13 +65,13 @@
 }
 
 func (no *Node) loadConfig(ctx context.Context) (units.Offset, error) {
+	asked := time.Now()
 	list, err := no.platform.Store.Newest(ctx, no.platform.OperatorStream)
 	if err != nil {
 		return -1, err
 	}
-	for _, it := range list.Items {
-		no.applyRecord(it, "store")
-	}
+	no.applyRecords(list.Items)
+	no.setConfigSynced(asked)
 	return list.End, nil
 }
 
@@ -80,45 +84,64 @@
 	if err != nil {
 		return next, err
 	}
+	var items []stream.Keyed
 	for idx, rec := range page.Records {
-		off := page.From + units.Offset(idx)
-		if it, ok := no.platform.DecodeRecord(off, rec); ok {
-			no.applyRecord(it, "store")
+		if it, ok := no.platform.DecodeRecord(page.From+units.Offset(idx), rec); ok {
+			items = append(items, it)
 		}
 	}
-	return page.From + units.Offset(len(page.Records)), nil
+	end := page.From + units.Offset(len(page.Records))
+	if end < page.End {
+		return -1, nil // The rest may be many versions, of which only the newest matters.
+	}
+	now := time.Now()
+	no.applyRecords(items)
+	no.setConfigSynced(now)
+	return end, nil
 }
 
-func (no *Node) applyRecord(it stream.Keyed, source string) {
-	if it.Key == no.platform.ConfigKey && len(it.Value) > 0 {
-		no.applyConfig(it.Value, source)
+// applyRecords applies the newest configuration among the operators' records that can be decoded.
+func (no *Node) applyRecords(items []stream.Keyed) {
+	for _, it := range slices.Backward(items) {
+		if it.Key == no.platform.ConfigKey && len(it.Value) > 0 && no.applyConfig(it.Value, "store") {
+			return
+		}
 	}
 }
 
-// applyConfig puts a configuration in force unless the current version is as new.
-func (no *Node) applyConfig(raw []byte, source string) {
+// setConfigSynced records that the configuration matched the store at a time.
+func (no *Node) setConfigSynced(at time.Time) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	no.watch.Synced(watch.Config, at)
+}
+
+// applyConfig puts a configuration in force unless the current version is as new. It returns
+// false if the configuration can't be decoded.
+func (no *Node) applyConfig(raw []byte, source string) bool {
 	co, err := no.platform.DecodeConfig(raw)
 	if err != nil {
 		no.log.Warn("config_unreadable", zap.String("source", source), zap.Error(err))
-		return
+		return false
 	}
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	before := no.config.Load()
 	if before.version() >= co.Version {
-		return
+		return true
 	}
 	no.relay.SetLimits(time.Now(), co)
 	no.config.Store(newActiveConfig(co, raw))
 	no.log.Info("config_in_force", zap.Uint64("config", uint64(co.Version)), zap.Uint64("before", uint64(before.version())),
-		zap.String("source", source), zap.Int("routes", len(co.Routes)), zap.Int("bytes", len(raw)))
+		zap.String("source", source), zap.Int("routes", len(co.Routes)), zap.Int("bytes", len(raw)), zap.Duration("behind", no.fetch.caughtUp(time.Now(), co.Version)))
+	return true
 }
 
 // followServers tails the records of backend servers and updates the list of servers.
 func (no *Node) followServers(ctx context.Context) {
 	loaded := false
 	for ctx.Err() == nil {
-		if loaded && !no.mustRead() {
+		if loaded && !no.mustRead(watch.Servers) {
 			if !pause.For(ctx, readerCheckPeriod) {
 				return
 			}
@@ -233,8 +256,8 @@
 
 // setSynced records that the list of servers matched the store at a time. The caller holds mu.
 func (no *Node) setSynced(at time.Time) {
-	no.watch.Synced(at)
-	no.relay.SetSynced(no.watch.SyncedAt())
+	no.watch.Synced(watch.Servers, at)
+	no.relay.SetSynced(no.watch.SyncedAt(watch.Servers))
 }
 
 // foldServer folds one server record and reports whether the list changed. hold is how long a
--- a/internal/node/entry/gap_test.go
+++ b/internal/node/entry/gap_test.go
@@ -237,7 +237,7 @@
 func (fl *fleet) readServers(no *fleetNode) {
 	no.path.silentTo = no.silentTo
 	loaded := no.serversLoaded.Load()
-	if loaded && !no.mustRead() {
+	if loaded && !no.mustRead(watch.Servers) {
 		return
 	}
 	_, _ = no.readStore(context.Background(), "servers", func(ctx context.Context) (err error) {
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -13,6 +13,7 @@
 	"lycheepick/internal/edge/relay"
 	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/plat/stream"
+	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/rule/watch"
 )
@@ -80,6 +81,14 @@
 		zap.Int64("bytes_sent", ex.traffic.Sent.Swap(0)), zap.Int64("bytes_received", ex.traffic.Received.Swap(0)), zap.Error(err))
 }
 
+// peerCaller calls peers, as pulse.Client does.
+type peerCaller interface {
+	Exchange(ctx context.Context, addr string, rq *pulse.Request) (*pulse.Reply, error)
+	AskPermits(ctx context.Context, addr string, rq *permit.Request) (*pulse.PermitReply, error)
+	Origins(ctx context.Context, addr string, rq *pulse.OriginsRequest) (*pulse.OriginsReply, error)
+	Close()
+}
+
 // exchangeLoop registers the node and exchanges reports with its peers until ctx ends.
 func (no *Node) exchangeLoop(ctx context.Context) {
 	client := no.peerClient
@@ -89,7 +98,7 @@
 	wg.Go(func() { no.register(ctx) })
 	for _, addr := range no.settings.Seeds {
 		if addr != no.settings.Listen.Peers {
-			wg.Go(func() { no.exchangeWith(ctx, client, addr) })
+			wg.Go(func() { no.exchangeWith(ctx, client, addr, pulse.ConfigNone) })
 		}
 	}
 	for number := uint64(0); pause.For(ctx, watch.RoundInterval); number++ {
@@ -98,7 +107,7 @@
 			no.logExchanges()
 		}
 		for _, addr := range no.roundAddrs(number) {
-			wg.Go(func() { no.exchangeWith(ctx, client, addr) })
+			wg.Go(func() { no.exchangeWith(ctx, client, addr, pulse.ConfigNone) })
 		}
 	}
 }
@@ -191,25 +200,13 @@
 	return out
 }
 
-// exchangeWith sends this node's report to the peer at addr and applies the reply. If it shows
-// a newer configuration that wasn't asked for, it is fetched at once by a second exchange.
-func (no *Node) exchangeWith(ctx context.Context, client *pulse.Client, addr string) {
-	if no.exchangeOnce(ctx, client, addr) {
-		no.exchangeOnce(ctx, client, addr)
-	}
-}
-
-// exchangeOnce makes one exchange and reports whether the configuration should be fetched from
-// the peer.
-func (no *Node) exchangeOnce(ctx context.Context, client *pulse.Client, addr string) (fetch bool) {
+// exchangeWith sends this node's report to the peer at addr and applies the reply. want tells
+// whether the configuration is asked for. It returns nil if the exchange failed.
+func (no *Node) exchangeWith(ctx context.Context, client peerCaller, addr string, want pulse.ConfigRequest) *pulse.Reply {
 	asked := time.Now()
 	id := no.markAsked(asked, addr)
 	no.exchanges.calls.Add(1)
-	wantConfig := no.claimConfigFetch(id)
-	if wantConfig == pulse.ConfigDeflate {
-		defer no.endConfigFetch()
-	}
-	rq := &pulse.Request{Report: no.report(), WantServers: no.wantsServers(id), WantConfig: wantConfig, Crashes: no.relay.CrashSummary(asked)}
+	rq := &pulse.Request{Report: no.report(), WantServers: no.wantsServers(id), WantConfig: want, Crashes: no.relay.CrashSummary(asked)}
 	re, err := client.Exchange(ctx, addr, rq)
 	if err != nil {
 		no.mu.Lock()
@@ -219,13 +216,14 @@
 		no.exchanges.failed.Add(1)
 		no.exchanges.lastError.Store(&err)
 		no.log.Debug("exchange_failed", zap.String("peer", addr), zap.Error(err))
-		return false
+		return nil
 	}
 	no.applyReport(&re.Report)
 	no.relay.ApplyCrashReport(time.Now(), re.Crashes)
 	no.applyPeerConfig(re)
+	no.notePeerConfig(&re.Report, asked)
 	no.applyServers(re, asked)
-	return wantConfig == pulse.ConfigNone && no.canFetchConfig(re.Config)
+	return re
 }
 
 // markAsked sets the time of the latest request to the peer at addr and returns its id, empty
@@ -296,7 +294,7 @@
 		changed = no.servers.PeerServed(now, pe.knownSince, synced)
 	}
 	complete := re.Complete || no.servers.NextOffset() >= re.Servers
-	if complete && now.Sub(synced) < no.watch.Age(now) {
+	if complete && now.Sub(synced) < no.watch.Age(watch.Servers, now) {
 		no.servers.NotePeerRecovery(now, re.SinceStoreOutage)
 		no.setSynced(synced)
 	}
@@ -345,7 +343,8 @@
 	}
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	out.Servers, out.StoreEra, out.ServersAge = no.servers.NextOffset(), no.serversEra, no.watch.Age(now)
+	out.Servers, out.StoreEra, out.ServersAge = no.servers.NextOffset(), no.serversEra, no.watch.Age(watch.Servers, now)
+	out.ConfigAge = max(1, no.watch.Age(watch.Config, now))
 	out.SinceStoreOutage = no.servers.SinceRecovery(now)
 	out.UsageWindows = no.usageBook.SourceCounts(no.ownSource())
 	out.Offered = make(map[units.TargetID]pulse.Demand, len(no.offered))
@@ -387,6 +386,9 @@
 	}
 	pe.incarnation, pe.storeTransitions = re.Incarnation, re.StoreTransitions
 	pe.config = re.Config
+	if re.Config > no.config.Load().version() {
+		no.fetch.hear(now, re.Config)
+	}
 	no.notePeerServers(re)
 	if re.HoldsLease {
 		no.leader.reportedAt, no.leader.reportedBy = now, re.Node
--- a/internal/node/entry/ready.go
+++ b/internal/node/entry/ready.go
@@ -9,6 +9,7 @@
 
 	"lycheepick/internal/edge/door"
 	"lycheepick/internal/node/meter"
+	"lycheepick/internal/rule/watch"
 )
 
 // readyServer returns the server for the balancer's readiness checks: 200 if the node is
@@ -70,7 +71,12 @@
 		"servers_age_ms": func() int64 {
 			no.mu.Lock()
 			defer no.mu.Unlock()
-			return no.watch.Age(time.Now()).Milliseconds()
+			return no.watch.Age(watch.Servers, time.Now()).Milliseconds()
+		},
+		"config_age_ms": func() int64 {
+			no.mu.Lock()
+			defer no.mu.Unlock()
+			return no.watch.Age(watch.Config, time.Now()).Milliseconds()
 		},
 		"servers_draining": no.draining.Load,
 		"reads_store": func() int64 {
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -62,8 +62,10 @@
 	// StoreTransitions counts the losses and recoveries of the store that the node has seen
 	// since its start. When it grows, peers restart their own reads of the store.
 	StoreTransitions int64 `json:"store_turns,omitempty"`
-	// Config is the version of the configuration in force at the node.
-	Config units.Version `json:"config"`
+	// Config is the version of the configuration in force at the node, and ConfigAge the time
+	// since it was last known to match the store. Nodes up to version 0.4 send no age.
+	Config    units.Version `json:"config"`
+	ConfigAge time.Duration `json:"config_age,omitempty"`
 	// Servers is the stream offset up to which the node has folded server records into
 	// its list, and ServersAge the time since that list was last known to match the store.
 	Servers units.Offset `json:"servers"`
@@ -133,6 +135,8 @@
 	// At most one is set, and only if the caller asks for it and its version is older.
 	RawConfig    []byte `json:"raw_config,omitempty"`
 	PackedConfig []byte `json:"config_deflate,omitempty"`
+	// ConfigDeferred is set if the node has sent too many configurations lately to send one now.
+	ConfigDeferred bool `json:"config_deferred,omitempty"`
 	// Records are the server records that the caller lacks, in order of their offsets.
 	Records []stream.Keyed `json:"records,omitempty"`
 	// Complete is set if no change between the caller's offset and Report.Servers is
--- a/internal/rule/watch/watch.go
+++ b/internal/rule/watch/watch.go
@@ -42,9 +42,22 @@
 	// readers are the other nodes that read, in the order in which this node queries them.
 	readers  []units.VMID
 	failures int
-	syncedAt time.Time
+	// syncedAt is when the state of each stream last matched the store. One stream tells nothing
+	// of another: its poll may hang alone.
+	syncedAt [streamCount]time.Time
 }
 
+// Stream is a stream of the store that nodes follow.
+type Stream int
+
+// The streams.
+const (
+	// Servers is the stream of the backend servers' records, Config that of the configuration.
+	Servers Stream = iota
+	Config
+	streamCount
+)
+
 // New returns the selector of a node that knows no peers and therefore reads itself.
 func New(own units.VMID) *Selector { return &Selector{own: own, isReader: true} }
 
@@ -84,23 +97,23 @@
 	}
 }
 
-// Synced records that this node's state matched the store at a time.
-func (se *Selector) Synced(at time.Time) {
-	if at.After(se.syncedAt) {
-		se.syncedAt = at
+// Synced records that this node's state of a stream matched the store at a time.
+func (se *Selector) Synced(st Stream, at time.Time) {
+	if at.After(se.syncedAt[st]) {
+		se.syncedAt[st] = at
 	}
 }
 
-// SyncedAt returns when this node's state last matched the store.
-func (se *Selector) SyncedAt() time.Time { return se.syncedAt }
+// SyncedAt returns when this node's state of a stream last matched the store.
+func (se *Selector) SyncedAt(st Stream) time.Time { return se.syncedAt[st] }
 
-// Age returns the time since this node's state last matched the store.
-func (se *Selector) Age(now time.Time) time.Duration { return now.Sub(se.syncedAt) }
+// Age returns the time since this node's state of a stream last matched the store.
+func (se *Selector) Age(st Stream, now time.Time) time.Duration { return now.Sub(se.syncedAt[st]) }
 
-// ShouldRead tells whether this node has to read the store now, as a reader or because its
-// state is stale.
-func (se *Selector) ShouldRead(now time.Time) bool {
-	return se.isReader || se.Age(now) > staleTimeout+time.Duration(rank(se.own)%uint64(staleJitter))
+// ShouldRead tells whether this node has to read a stream from the store now, as a reader or
+// because its state is stale.
+func (se *Selector) ShouldRead(st Stream, now time.Time) bool {
+	return se.isReader || se.Age(st, now) > staleTimeout+time.Duration(rank(se.own)%uint64(staleJitter))
 }
 
 func rank(id units.VMID) uint64 { return xxhash.Sum64String(string(id)) }
--- a/internal/rule/watch/watch_test.go
+++ b/internal/rule/watch/watch_test.go
@@ -52,17 +52,17 @@
 	for _, no := range nodes {
 		se := watch.New(no)
 		se.SetPeers(without(nodes, no))
-		se.Synced(now)
+		se.Synced(watch.Servers, now)
 		if se.IsReader() {
 			continue
 		}
-		if se.ShouldRead(now.Add(time.Second)) {
+		if se.ShouldRead(watch.Servers, now.Add(time.Second)) {
 			t.Fatalf("%s reads though its state is only 1 s old", no)
 		}
-		if se.ShouldRead(now.Add(1450 * time.Millisecond)) {
+		if se.ShouldRead(watch.Servers, now.Add(1450*time.Millisecond)) {
 			early++
 		}
-		if !se.ShouldRead(now.Add(1800 * time.Millisecond)) {
+		if !se.ShouldRead(watch.Servers, now.Add(1800*time.Millisecond)) {
 			t.Fatalf("%s does not read though its state is 1.8 s old", no)
 		}
 	}
@@ -71,6 +71,21 @@
 	}
 }
 
+// TestStreamsAgeApart guards against a node whose poll of one stream hangs, and that takes its
+// state of it for fresh since the other stream is.
+func TestStreamsAgeApart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	se := watch.New("node-1")
+	se.SetPeers(nodeIDs(64)[2:])
+	if se.IsReader() {
+		t.Fatal("node-1 is a reader")
+	}
+	se.Synced(watch.Servers, now)
+	if se.ShouldRead(watch.Servers, now) || !se.ShouldRead(watch.Config, now) {
+		t.Error("the configuration counts as fresh, or the servers as stale")
+	}
+}
+
 func TestNextReaderIsQueriedAfterAFailure(t *testing.T) {
 	se := watch.New("node-1")
 	se.SetPeers(nodeIDs(64)[2:])
@@ -146,6 +161,6 @@
 func ExampleSelector() {
 	se := watch.New("node-1")
 	se.SetPeers([]units.VMID{"node-2", "node-3"})
-	fmt.Println(se.IsReader(), se.ShouldRead(time.Now()))
+	fmt.Println(se.IsReader(), se.ShouldRead(watch.Config, time.Now()))
 	// Output: true true
 }
