--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -53,6 +53,8 @@
 	// KeepAliveInterval is the time between TCP keep-alive probes of a silent connection.
 	// Zero leaves the keep-alive settings at Go's defaults.
 	KeepAliveInterval time.Duration
+	// Dial opens a connection, nil for TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 }
 
 // keepAliveCount is the number of unanswered probes after which a connection is closed.
@@ -189,17 +191,26 @@
 			return cn, nil
 		}
 	}
-	dl := net.Dialer{Timeout: cl.opt.DialTimeout, Control: setUserTimeout}
-	if cl.opt.KeepAliveInterval > 0 {
-		dl.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: cl.opt.KeepAliveInterval, Interval: cl.opt.KeepAliveInterval, Count: keepAliveCount}
-	}
-	raw, err := dl.DialContext(ctx, "tcp", addr)
+	raw, err := cl.dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
 	return &conn{Conn: raw, rd: bufio.NewReaderSize(raw, cl.opt.MaxHeader)}, nil
 }
 
+func (cl *Caller) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if cl.opt.Dial != nil {
+		ctx, cancel := context.WithTimeout(ctx, cl.opt.DialTimeout)
+		defer cancel()
+		return cl.opt.Dial(ctx, addr)
+	}
+	dl := net.Dialer{Timeout: cl.opt.DialTimeout, Control: setUserTimeout}
+	if cl.opt.KeepAliveInterval > 0 {
+		dl.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: cl.opt.KeepAliveInterval, Interval: cl.opt.KeepAliveInterval, Count: keepAliveCount}
+	}
+	return dl.DialContext(ctx, "tcp", addr)
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT before the connection is opened.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var err error
