relay: requests of a node that reaches no server go through another node

Cause: nothing told a path that is cut from servers that are down, each node ejected what it couldn't reach, and no request could go through another node; after the cut, ejections went on.

Now a node suspects its path when requests fail, or wait, at two servers with no answer in between; it opens connections to three of the servers, those first that have not failed, and if none accepts it takes detours: a peer that reaches servers itself takes the whole request, chooses the server and judges permits, blocked parts, leaving and versions. The request is offered first and committed only once the peer has taken it, so that a peer that is dead, frozen, full or cut costs no caller an unknown end. No second hop. The customer's limit is charged at the first node, usage counted at the second. Open connections that live on are used. Failures and losses during a cut count for no server. Probes go on until servers accept connections again, the longer the more often the path is lost.

Without a cut a node opens no connection and sends no byte more but one flag in a report.

--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -110,14 +110,25 @@
 // not show whether the request was received. When ctx ends, the connection is reset and
 // reads of the body fail.
 func (cl *Caller) Do(ctx context.Context, addr string, req *fasthttp.Request, fresh bool) (*Answer, error) {
-	return cl.DoIf(ctx, addr, req, fresh, func() bool { return true })
+	return cl.DoIf(ctx, addr, req, Conditions{Fresh: fresh})
 }
 
-// DoIf is Do for a request that must not be sent if proceed returns false once there is a
-// connection, which may take as long as the dial timeout. The error is then of KindNotSent.
-func (cl *Caller) DoIf(ctx context.Context, addr string, req *fasthttp.Request, fresh bool, proceed func() bool) (*Answer, error) {
+// Conditions are the conditions under which a request is sent. If it isn't, the error is of
+// KindNotSent.
+type Conditions struct {
+	// Fresh asks for a new connection, Open for one that is open already.
+	Fresh, Open bool
+	// Dial ends once a new connection isn't waited for any more, nil for never.
+	Dial context.Context
+	// Proceed reports whether the request may still be sent once there is a connection, which
+	// may take as long as the dial timeout. Nil always does.
+	Proceed func() bool
+}
+
+// DoIf is Do under conditions.
+func (cl *Caller) DoIf(ctx context.Context, addr string, req *fasthttp.Request, co Conditions) (*Answer, error) {
 	const op = "call.Do"
-	cn, err := cl.connect(ctx, addr, fresh)
+	cn, err := cl.connect(ctx, addr, co)
 	if err != nil {
 		return nil, fault.Wrap(op, KindNotSent, err)
 	}
@@ -127,7 +138,7 @@
 		an.discard()
 		return nil, fault.Wrap(op, KindNotSent, err)
 	}
-	if !proceed() {
+	if co.Proceed != nil && !co.Proceed() {
 		an.discard()
 		return nil, fault.New(op, KindNotSent, "no longer wanted at %s", addr)
 	}
@@ -144,6 +155,16 @@
 	return an, nil
 }
 
+// Probe opens a connection to addr and keeps it for the next call.
+func (cl *Caller) Probe(ctx context.Context, addr string) error {
+	cn, err := cl.connect(ctx, addr, Conditions{Fresh: true})
+	if err != nil {
+		return fault.Wrap("call.Probe", KindNotSent, err)
+	}
+	cl.putIdle(addr, cn)
+	return nil
+}
+
 // readHead reads the response header and skips interim (1xx) responses.
 func (an *Answer) readHead() error {
 	for {
@@ -185,12 +206,21 @@
 	return wr.Flush()
 }
 
-func (cl *Caller) connect(ctx context.Context, addr string, fresh bool) (*conn, error) {
-	if !fresh {
+func (cl *Caller) connect(ctx context.Context, addr string, co Conditions) (*conn, error) {
+	if !co.Fresh {
 		if cn := cl.takeIdle(addr); cn != nil {
 			return cn, nil
 		}
 	}
+	if co.Open {
+		return nil, errors.Errorf("no connection to %s is open", addr)
+	}
+	if co.Dial != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(co.Dial, cancel)()
+	}
 	raw, err := cl.dial(ctx, addr)
 	if err != nil {
 		return nil, err
--- a/internal/edge/call/call_test.go
+++ b/internal/edge/call/call_test.go
@@ -184,7 +184,7 @@
 	var req fasthttp.Request
 	req.SetRequestURI("/")
 	req.Header.SetHost("a")
-	_, err = call.NewCaller().DoIf(ctx, ls.Addr().String(), &req, false, func() bool { return false })
+	_, err = call.NewCaller().DoIf(ctx, ls.Addr().String(), &req, call.Conditions{Proceed: func() bool { return false }})
 	if !fault.Is(err, call.KindNotSent) {
 		t.Errorf("have %v, want an error of kind %s", err, call.KindNotSent)
 	}
--- a/internal/edge/relay/answer.go
+++ b/internal/edge/relay/answer.go
@@ -31,6 +31,12 @@
 // as executed.
 func (ru *run) recordStart(pi *picked, began time.Time) {
 	ru.beganAt = time.Now()
+	if ss, ok := ru.sink.(ServedSink); ok {
+		ss.Served(&pi.Server)
+	}
+	if pi.detour {
+		return // The other node records it.
+	}
 	ru.rl.recordFirstByte(ru.rq.Service, pi)
 	if time.Since(pi.sent) > ru.rq.Route.TargetLatency {
 		ru.rl.Meter.RecordLate(ru.rq.Service)
--- a/internal/edge/relay/crashes.go
+++ b/internal/edge/relay/crashes.go
@@ -64,12 +64,8 @@
 	if writing > crash.MaxWriting || ru.rl.isLeaving(&pi.Server) {
 		return
 	}
-	rl := ru.rl
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	now := time.Now()
-	rl.crashes.Lost(now, permitServer(&pi.Server), crash.Loss{
-		Request: uint32(xxhash.Sum64String(string(ru.rq.ID))), Content: ru.rq.Content, At: now, Parts: ru.parts,
+	ru.rl.lost(ru.rq.Service, pi, crash.Loss{
+		Request: uint32(xxhash.Sum64String(string(ru.rq.ID))), Content: ru.rq.Content, At: time.Now(), Parts: ru.parts,
 	})
 }
 
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"lycheepick/internal/rule/crash"
+	"lycheepick/internal/rule/detour"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/place"
@@ -43,6 +44,11 @@
 	// KindBlocked marks an attempt that was not sent since the request, or others with a part of its
 	// prompt, crash servers, as this node has learned since the server was chosen.
 	KindBlocked Kind = "blocked"
+	// KindCut marks an attempt that was not sent since this node's network path to the servers
+	// is cut.
+	KindCut Kind = "cut"
+	// KindNoDetour marks an attempt that was not sent since no other node could take it.
+	KindNoDetour Kind = "no_detour"
 	// KindErrored marks an attempt for which the server returned an error response.
 	KindErrored Kind = "errored"
 	// KindBroken marks an attempt whose response was truncated or malformed.
@@ -100,6 +106,10 @@
 	// request needs a permit that it doesn't have. It has to be checked right before the request
 	// is sent.
 	Limited func() bool
+	// Dial ends once a new connection isn't waited for any more, since the path to the servers is
+	// cut. With OpenOnly the request goes out on an open connection or not at all.
+	Dial     context.Context
+	OpenOnly bool
 	// Blocked reports whether the request has come to be one that is refused. It has to be checked
 	// right before the request is sent.
 	Blocked func() bool
@@ -119,8 +129,12 @@
 	Limit permit.Limit
 	// SentAt is when the request had been handed to the kernel.
 	SentAt time.Time
-	Head   *fasthttp.ResponseHeader
-	Body   io.Reader
+	// Server is the server that another node chose, and Refusal what that node answered if there
+	// is no response.
+	Server  server.Server
+	Refusal *Refusal
+	Head    *fasthttp.ResponseHeader
+	Body    io.Reader
 	// Close releases the connection.
 	Close func()
 }
@@ -170,7 +184,10 @@
 	// permits that this node issued.
 	NoPermit, PermitsAsked, PermitsFailed, PermitsIssued atomic.Int64
 	Retries, Resumes                                     atomic.Int64
-	Sent, Refused                                        atomic.Int64
+	// Detoured counts requests sent through other nodes, ForPeers those that other nodes sent
+	// through this one.
+	Detoured, ForPeers atomic.Int64
+	Sent, Refused      atomic.Int64
 }
 
 // Relay serves requests. Set its fields before first use; it is then safe for concurrent
@@ -187,6 +204,10 @@
 	AskPermits func(context.Context, permit.Request) (permit.Grant, error)
 	// Origins keeps where streams began.
 	Origins Origins
+	// Detours sends requests through other nodes, and Probe opens a connection to a server. Nil
+	// if the deployment has neither.
+	Detours Detours
+	Probe   func(context.Context, *server.Server) error
 	// OwnsTrials reports whether this node, and no other, may try a blocked key again.
 	OwnsTrials func(crash.Key) bool
 
@@ -239,6 +260,7 @@
 	listReadAt time.Time
 	// permitRetry spreads the retries of requests refused for want of permits.
 	permitRetry permit.RetryAfter
+	servicePath
 }
 
 const (
@@ -263,7 +285,7 @@
 func (rl *Relay) service(id units.TargetID) *service {
 	se := rl.fleets[id]
 	if se == nil {
-		se = &service{fleet: place.NewFleet(), budget: retry.NewBudget(retryShare, retryReserve)}
+		se = &service{fleet: place.NewFleet(), budget: retry.NewBudget(retryShare, retryReserve), servicePath: newServicePath()}
 		rl.fleets[id] = se
 	}
 	return se
@@ -450,6 +472,12 @@
 	// limited is set if the server named a limit when it was chosen, so that the dispatch took
 	// a permit.
 	limited bool
+	// detour is set if another node chose the server and sent the request there.
+	detour bool
+	// dial ends when the path to the servers is found to be cut, openOnly is set if it is cut and
+	// open connections still work.
+	dial     context.Context
+	openOnly bool
 }
 
 // choose selects a server and records the dispatch, with a permit if the server names a limit.
@@ -468,6 +496,7 @@
 	pi.limited = rl.permits.Limit(permitServer(&pi.Server)).Named
 	rl.permits.Use(now, permitServer(&pi.Server))
 	pi.ticket, pi.sent = se.fleet.Dispatch(now, ask, &pi.Choice), now
+	pi.dial, pi.openOnly = se.dial, se.path.State() == detour.Cut
 	return pi, true, true
 }
 
@@ -481,7 +510,11 @@
 
 func (rl *Relay) recordEnd(id units.TargetID, pi *picked, res place.Result) {
 	rl.mu.Lock()
-	change := rl.service(id).fleet.End(time.Now(), pi.Server.ID, pi.ticket, res)
+	se := rl.service(id)
+	if res == place.Incomplete && se.blamesPath(pi.sent) {
+		res = place.Canceled
+	}
+	change := se.fleet.End(time.Now(), pi.Server.ID, pi.ticket, res)
 	rl.mu.Unlock()
 	if change == retry.Ejected {
 		rl.Log.Info("server_ejected", zap.String("server", string(pi.Server.ID)), zap.String("service", string(id)))
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -65,6 +65,11 @@
 	parts []place.BlockID
 	keys  []crash.Key
 	trial bool
+	// forwarded is set if another node forwarded the request, and counted if the request is in
+	// that node's demand. noOpen is set once no open connection was left on a path that is cut.
+	forwarded, counted, noOpen bool
+	// refusal is what another node refused the request with.
+	refusal *Refusal
 }
 
 type failure struct {
@@ -80,12 +85,7 @@
 		rl.refuse(rq, sink, fasthttp.StatusServiceUnavailable, "this node is leaving", drainRetryAfter)
 		return
 	}
-	ru := &run{
-		rl: rl, rq: rq, ex: ex, sink: sink, lastEvent: rq.LastEvent, parts: sharedParts(rq.PrefixBlocks),
-		machine: answer.New(rq.Route.RetryPolicy != routes.AtMostOnce, maxSends),
-		ask:     place.Request{Blocks: rq.PrefixBlocks, Prompt: rq.PromptTokens, Zone: rl.Zone},
-	}
-	ru.keys = crash.Keys(rq.Content, ru.parts)
+	ru := rl.newRun(rq, ex, sink)
 	if ru.refuseBlocked() {
 		return
 	}
@@ -110,6 +110,16 @@
 	}
 }
 
+func (rl *Relay) newRun(rq *Request, ex Exchange, sink Sink) *run {
+	ru := &run{
+		rl: rl, rq: rq, ex: ex, sink: sink, lastEvent: rq.LastEvent, parts: sharedParts(rq.PrefixBlocks),
+		machine: answer.New(rq.Route.RetryPolicy != routes.AtMostOnce, maxSends),
+		ask:     place.Request{Blocks: rq.PrefixBlocks, Prompt: rq.PromptTokens, Zone: rl.Zone},
+	}
+	ru.keys = crash.Keys(rq.Content, ru.parts)
+	return ru
+}
+
 // logLimit logs the state of the customer's limit that a request was rejected by.
 func (rl *Relay) logLimit(rq *Request) {
 	rl.mu.Lock()
@@ -131,17 +141,10 @@
 func (ru *run) loop(ctx context.Context) {
 	runs := 0
 	for {
-		pi, ok := ru.pick(ctx)
-		if !ok {
+		sent, err := ru.send(ctx, runs)
+		if !sent {
 			return
 		}
-		att, _ := ru.machine.Dispatch()
-		ru.sends++
-		err := ru.attempt(ctx, &pi)
-		ru.settle(att, &pi, err)
-		if isLost(err) {
-			ru.recordLost(&pi)
-		}
 		if err == nil {
 			ru.finish(nil)
 			return
@@ -153,8 +156,39 @@
 			ru.finish(err)
 			return
 		}
+	}
+}
+
+// send sends the request once, to a server or through another node. It returns false if the
+// request has ended without. runs counts the attempts that may have been executed.
+func (ru *run) send(ctx context.Context, runs int) (sent bool, err error) {
+	if ru.takesDetour() {
+		att, _ := ru.machine.Dispatch()
+		ru.sends++
+		err := ru.forward(ctx, runs)
+		ru.settleForward(att, err)
+		return true, err
+	}
+	pi, ok := ru.pick(ctx)
+	if !ok {
+		return false, nil
+	}
+	att, _ := ru.machine.Dispatch()
+	ru.sends++
+	err = ru.attempt(ctx, &pi)
+	if err != nil {
+		ru.rl.pathFailed(ru.rq.Service, &pi, err)
+	}
+	ru.settle(att, &pi, err)
+	if isLost(err) {
+		ru.recordLost(&pi)
+	}
+	if fault.Is(err, KindCut) {
+		ru.noOpen = true
+	} else {
 		ru.ask.Avoid = append(ru.ask.Avoid, pi.Server.ID)
 	}
+	return true, err
 }
 
 // pick selects a server. If none is usable, or none is predicted to respond in time, it
@@ -166,7 +200,8 @@
 		pi, found, sent, after = ru.tryPick()
 	}
 	rq := ru.rq
-	if ru.sends == 0 {
+	if !ru.counted {
+		ru.counted = true
 		ru.rl.Meter.RecordDemand(rq.Service, pi.Uncached)
 	}
 	switch {
@@ -285,6 +320,8 @@
 		bl, _ := ru.rl.blocked(ru.keys)
 		ru.rl.Counts.Blocked.Add(1)
 		ru.rl.refuse(ru.rq, ru.sink, blockedStatus, blockedReason(bl.Key), max(noServerRetryAfter, bl.RetryAfter))
+	case state == answer.NotRun && ru.refusal != nil:
+		ru.rl.refuse(ru.rq, ru.sink, fasthttp.StatusServiceUnavailable, ru.refusal.Reason, max(noServerRetryAfter, ru.refusal.RetryAfter))
 	case state == answer.NotRun:
 		ru.rl.refuse(ru.rq, ru.sink, fasthttp.StatusServiceUnavailable, err.Error(), noServerRetryAfter)
 	case fault.Is(err, KindDeadline):
@@ -300,15 +337,15 @@
 	if ctx.Err() != nil || time.Until(ru.rq.Deadline) < minRetryTime || fault.Is(err, KindCallerGone) || fault.Is(err, KindDeadline) {
 		return false
 	}
-	if ru.trial || ru.isBlocked() {
+	if ru.trial || ru.isBlocked() || ru.refusal != nil || fault.Is(err, KindNoDetour) {
 		return false
 	}
 	if !ru.machine.CanDispatch() || runs >= ru.rq.Route.MaxAttempts || (ru.sink.Started() && ru.rq.Route.RetryPolicy != routes.Resumable) {
 		return false
 	}
-	// The budget bounds what arrives at the servers, and nothing arrived at one that leaves or
-	// that is limited.
-	if !fault.Is(err, KindLeaving) && !fault.Is(err, KindLimited) && !ru.rl.spendRetry(ru.rq.Service) {
+	// The budget bounds what arrives at the servers, and nothing arrived at one that leaves, is
+	// limited, or can't be reached.
+	if !fault.Is(err, KindLeaving) && !fault.Is(err, KindLimited) && !fault.Is(err, KindCut) && !ru.rl.spendRetry(ru.rq.Service) {
 		return false
 	}
 	ru.rl.Counts.Retries.Add(1)
@@ -330,7 +367,7 @@
 		res = ru.result
 	case fault.Is(err, KindRefused):
 		res, evidence = place.Refused, answer.Refused
-	case fault.Is(err, KindLeaving), fault.Is(err, KindLimited), fault.Is(err, KindBlocked):
+	case fault.Is(err, KindLeaving), fault.Is(err, KindLimited), fault.Is(err, KindBlocked), fault.Is(err, KindCut):
 		res, evidence = place.Canceled, answer.NotSent
 	case fault.Is(err, KindNotSent):
 		evidence = answer.NotSent
@@ -370,12 +407,13 @@
 		Server: pi.Server, Deadline: ru.rq.Deadline, Priority: ru.rq.Priority, LastEvent: ru.lastEvent,
 		Leaving: func() bool { return ru.rl.isLeaving(&pi.Server) },
 		Limited: func() bool { return !pi.limited && ru.rl.isLimited(&pi.Server) },
-		Blocked: ru.isBlocked,
+		Blocked: ru.isBlocked, Dial: pi.dial, OpenOnly: pi.openOnly,
 	})
 	if err != nil {
-		return ru.why(callerCtx, ctx, err)
+		return ru.why(callerCtx, ctx, ru.orCut(pi, err))
 	}
 	defer rp.Close()
+	ru.rl.pathAnswered(ru.rq.Service)
 	ru.unsent = rp.SentAt.Sub(pi.sent)
 	ru.rl.observeLimit(&pi.Server, rp)
 	if rp.Refused || rp.Misdirected {
@@ -393,6 +431,15 @@
 	return ru.why(callerCtx, ctx, err)
 }
 
+// orCut returns the error of an attempt that was not sent, as one of KindCut if the path to the
+// servers is cut.
+func (ru *run) orCut(pi *picked, err error) error {
+	if fault.Is(err, KindNotSent) && pi.dial.Err() != nil {
+		return fault.Wrap("relay.attempt", KindCut, err)
+	}
+	return err
+}
+
 // why classifies the error of a failed attempt by the context that cancelled it, if one
 // did. callerCtx is the request's context, ctx the attempt's.
 func (ru *run) why(callerCtx, ctx context.Context, err error) error {
@@ -416,5 +463,6 @@
 
 // isNotSent reports whether no byte of an attempt can have reached its server.
 func isNotSent(err error) bool {
-	return fault.Is(err, KindNotSent) || fault.Is(err, KindLeaving) || fault.Is(err, KindLimited) || fault.Is(err, KindBlocked)
+	return fault.Is(err, KindNotSent) || fault.Is(err, KindLeaving) || fault.Is(err, KindLimited) || fault.Is(err, KindBlocked) ||
+		fault.Is(err, KindCut) || fault.Is(err, KindNoDetour)
 }
--- a/internal/node/entry/config_test.go
+++ b/internal/node/entry/config_test.go
@@ -129,7 +129,7 @@
 				return out, json.Unmarshal(raw, &out)
 			},
 			DecodeServer: func([]byte) (server.Status, error) { return server.Status{}, nil },
-			Handler:      func(func() *routes.Config, *relay.Relay) door.Handler { return nil },
+			Handler:      func(func() *routes.Config, *relay.Relay) (door.Handler, ForwardHandler) { return nil, nil },
 		}, zap.NewNop())
 		nodes[num].applyConfig(encodedConfig(1, 50), "store")
 	}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -22,6 +22,7 @@
 	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/plat/stream"
 	"lycheepick/internal/rule/clock"
+	"lycheepick/internal/rule/detour"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/lease"
 	"lycheepick/internal/rule/permit"
@@ -42,6 +43,10 @@
 	KindListen Kind = "listen"
 	// KindConfig marks a configuration of a peer that can't be unpacked.
 	KindConfig Kind = "config"
+	// KindDeclined marks a request that a peer has not taken, KindForward one that a peer has taken
+	// or that is malformed.
+	KindDeclined Kind = "declined"
+	KindForward  Kind = "forward"
 	// KindIssuer marks a node that gave no permits, since it can't be reached or takes another
 	// node for their issuer.
 	KindIssuer Kind = "issuer"
@@ -76,9 +81,9 @@
 	// ReportsUsage and OrdersServers enable the duties of the leader.
 	ReportsUsage  bool
 	OrdersServers bool
-	// Handler returns the handler of callers' requests. config returns nil until a
-	// configuration is in force.
-	Handler func(config func() *routes.Config, rl *relay.Relay) door.Handler
+	// Handler returns the handlers of callers' requests, and of those that peers forward. config
+	// returns nil until a configuration is in force.
+	Handler func(config func() *routes.Config, rl *relay.Relay) (door.Handler, ForwardHandler)
 }
 
 // Node is one entry node.
@@ -125,6 +130,7 @@
 	origins      *origins
 	configBudget configBudget
 	fetch        configFetch
+	forwards     *forwards
 	leader       leaderState
 }
 
@@ -148,12 +154,15 @@
 	no.origins = newOrigins(no)
 	no.relay.AskPermits, no.relay.Origins, no.relay.OwnsTrials = no.askPermits, no.origins, no.ownsTrials
 	no.relay.ObserveFirstByte = func(du time.Duration) { no.firstByte.Update(du.Microseconds()) }
-	handler := pf.Handler(func() *routes.Config {
+	no.forwards = &forwards{no: no, nodes: detour.NewNodes()}
+	no.relay.Detours = no.forwards
+	handler, forwarded := pf.Handler(func() *routes.Config {
 		if fo := no.config.Load(); fo != nil {
 			return fo.Config
 		}
 		return nil
 	}, no.relay)
+	no.forwards.handler = forwarded
 	no.door = &door.Server{Handler: handler, Limits: no.limits}
 	no.leader = leaderState{
 		lease:  lease.New(lease.Holder{Node: set.VM.ID, Incarnation: no.incarnation}, lease.Timing{Lease: set.Timing.Lease(), Margin: leaseMargin}),
@@ -221,6 +230,7 @@
 	wg.Go(func() { no.fetchConfigs(work) })
 	wg.Go(func() { no.origins.run(work) })
 	wg.Go(func() { no.tick(work) })
+	wg.Go(func() { no.relay.WatchPaths(work) })
 	if no.platform.ReportsUsage || no.platform.OrdersServers {
 		wg.Go(func() { no.leaderLoop(work) })
 	}
--- a/internal/node/entry/follow_test.go
+++ b/internal/node/entry/follow_test.go
@@ -69,7 +69,7 @@
 		DecodeServer: func([]byte) (server.Status, error) {
 			return server.Status{Service: "app", Zone: "z1", StartUnixMS: 1, Slots: 8}, nil
 		},
-		Handler: func(func() *routes.Config, *relay.Relay) door.Handler { return nil },
+		Handler: func(func() *routes.Config, *relay.Relay) (door.Handler, ForwardHandler) { return nil, nil },
 	}, zap.NewNop())
 	ft.exchange("peer-1", 0, nil)
 	ft.exchange("peer-2", 0, nil)
--- /dev/null
+++ b/internal/node/entry/forward.go
@@ -0,0 +1,351 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lycheepick/internal/edge/relay"
+	"lycheepick/internal/peer/pulse"
+	"lycheepick/internal/rule/detour"
+	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/units"
+	"lycheepick/internal/state/answer"
+	"lycheepick/internal/state/server"
+)
+
+const (
+	// maxForwardTries bounds the peers that are asked to take one request.
+	maxForwardTries = 8
+	// acceptTimeout bounds the time in which a peer takes a request or declines it.
+	acceptTimeout = 250 * time.Millisecond
+	// maxForwarded bounds the requests of peers in progress, and maxForwardedBytes their bodies,
+	// so that this node's own callers are served as before.
+	maxForwarded      = 256
+	maxForwardedBytes = 16 << 20
+	// unusableRetryAfter is when the caller of a request that no peer takes may come back.
+	unusableRetryAfter = 500 * time.Millisecond
+)
+
+// ForwardHandler handles a request that a peer forwards and writes the response to sink. It
+// returns the final state.
+type ForwardHandler func(ctx context.Context, fw *relay.Forward, sink relay.ServedSink) answer.State
+
+// forwards sends requests through peers, and handles those that peers send through this node.
+type forwards struct {
+	no      *Node
+	handler ForwardHandler
+
+	mu    sync.Mutex
+	nodes *detour.Nodes
+	// inProgress and bytes are the requests of peers in progress and the sizes of their bodies.
+	inProgress, bytes atomic.Int64
+}
+
+// choose returns a peer that may take a request of a service.
+func (fo *forwards) choose(service units.TargetID) (pulse.Peer, bool) {
+	no := fo.no
+	no.mu.Lock()
+	var ids []units.VMID
+	load, addrs := map[units.VMID]int{}, map[units.VMID]string{}
+	for id, pe := range no.peers {
+		if pe.lost || !pe.forwards || pe.unreached[service] {
+			continue
+		}
+		ids, load[id], addrs[id] = append(ids, id), pe.load, pe.address
+	}
+	no.mu.Unlock()
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	id, ok := fo.nodes.Choose(time.Now(), service, ids, func(id units.VMID) int { return load[id] })
+	return pulse.Peer{Node: id, Address: addrs[id]}, ok
+}
+
+// Forward implements relay.Detours.
+func (fo *forwards) Forward(ctx context.Context, fw *relay.Forward) (*relay.Reply, error) {
+	const op = "entry.Forward"
+	for range maxForwardTries {
+		to, ok := fo.choose(fw.Service)
+		if !ok || ctx.Err() != nil {
+			break
+		}
+		rp, err := fo.forwardTo(ctx, to, fw)
+		if err == nil || fault.Is(err, KindForward) {
+			return rp, relayError(op, relay.KindBroken, err)
+		}
+		fo.mu.Lock()
+		fo.nodes.Unusable(time.Now(), to.Node, fw.Service)
+		fo.mu.Unlock()
+	}
+	return nil, relayError(op, relay.KindNoDetour, fault.New(op, KindForward, "no other node takes requests of %s", fw.Service))
+}
+
+func relayError(op string, ki relay.Kind, err error) error { return fault.Wrap(op, ki, err) }
+
+// forwardTo sends a request through one peer. The error is of KindDeclined if the peer has not
+// taken it, and of KindForward if it may have run.
+func (fo *forwards) forwardTo(ctx context.Context, to pulse.Peer, fw *relay.Forward) (*relay.Reply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	fo.began(to.Node)
+	done := sync.OnceFunc(func() {
+		cancel()
+		fo.ended(to.Node)
+	})
+	fs, err := fo.offer(ctx, cancel, to, fw)
+	if err != nil {
+		done()
+		return nil, err
+	}
+	rp, err := receiveReply(fs, done)
+	if err != nil {
+		done()
+	}
+	return rp, err
+}
+
+func (fo *forwards) began(id units.VMID) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	fo.nodes.Began(id)
+}
+
+func (fo *forwards) ended(id units.VMID) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	fo.nodes.Ended(id)
+}
+
+// offer offers a request to a peer and commits it once the peer has taken it.
+func (fo *forwards) offer(ctx context.Context, abort context.CancelFunc, to pulse.Peer, fw *relay.Forward) (*pulse.FrameStream, error) {
+	const op = "entry.offer"
+	tm := time.AfterFunc(acceptTimeout, abort)
+	defer tm.Stop()
+	declined := func(err error) error { return fault.Wrap(op, KindDeclined, err) }
+	fs, err := fo.no.peerClient.Forward(ctx, to.Address)
+	if err != nil {
+		return nil, declined(err)
+	}
+	now := time.Now()
+	err = fs.SendJSON(pulse.FrameOffer, &pulse.Offer{
+		ID: fw.ID, Service: fw.Service, Header: fw.Header, BodyBytes: len(fw.Body), Waited: now.Sub(fw.Arrived), Left: fw.Deadline.Sub(now),
+		Attempts: fw.Attempts, LastEvent: fw.LastEvent, Version: fw.Version, Counted: fw.Counted,
+	})
+	if err == nil {
+		err = fs.SendBody(fw.Body)
+	}
+	if err != nil {
+		return nil, declined(err)
+	}
+	fr, err := fs.Receive()
+	if err == nil && fr.Kind != pulse.FrameAccept {
+		err = fault.New(op, KindDeclined, "%s declined: %.200s", to.Node, fr.Data)
+	}
+	if err != nil {
+		return nil, declined(err)
+	}
+	if !tm.Stop() {
+		return nil, fault.New(op, KindDeclined, "%s took longer than %s", to.Node, acceptTimeout)
+	}
+	return fs, fault.Wrap(op, KindForward, fs.Send(pulse.FrameCommit, nil))
+}
+
+// receiveReply reads the header of the response. The reply's Close calls done.
+func receiveReply(fs *pulse.FrameStream, done func()) (*relay.Reply, error) {
+	const op = "entry.receiveReply"
+	fr, err := fs.Receive()
+	if err != nil {
+		return nil, fault.Wrap(op, KindForward, err)
+	}
+	if fr.Kind == pulse.FrameRefusal {
+		var re pulse.Refusal
+		if err := fr.Decode(pulse.FrameRefusal, &re); err != nil {
+			return nil, fault.Wrap(op, KindForward, err)
+		}
+		return &relay.Reply{Close: done, Refusal: &relay.Refusal{Status: re.Status, Reason: re.Reason, RetryAfter: re.RetryAfter, NotRun: re.NotRun}}, nil
+	}
+	var head pulse.Head
+	if err := fr.Decode(pulse.FrameHead, &head); err != nil {
+		return nil, fault.Wrap(op, KindForward, err)
+	}
+	hd := &fasthttp.ResponseHeader{}
+	hd.SetNoDefaultContentType(true)
+	if err := hd.Read(bufio.NewReader(bytes.NewReader(head.Header))); err != nil {
+		return nil, fault.Wrap(op, KindForward, err)
+	}
+	rp := &relay.Reply{Status: hd.StatusCode(), Authentic: true, Head: hd, Body: &frameReader{fs: fs}, Close: done, SentAt: time.Now()}
+	rp.Server.ID, rp.Server.Version = head.Server, head.Version
+	return rp, nil
+}
+
+// frameReader reads the body of a response. It ends with io.EOF only if the whole body has come.
+type frameReader struct {
+	fs   *pulse.FrameStream
+	rest []byte
+	err  error
+}
+
+// Read implements io.Reader.
+func (fr *frameReader) Read(buf []byte) (int, error) {
+	const op = "entry.Read"
+	for len(fr.rest) == 0 && fr.err == nil {
+		next, err := fr.fs.Receive()
+		switch {
+		case err != nil:
+			fr.err = fault.Wrap(op, KindForward, err)
+		case next.Kind == pulse.FrameBody:
+			fr.rest = next.Data
+		case next.Kind == pulse.FrameEnd:
+			fr.err = io.EOF
+		default:
+			fr.err = fault.New(op, KindForward, "the peer broke off: %.200s", next.Data)
+		}
+	}
+	num := copy(buf, fr.rest)
+	fr.rest = fr.rest[num:]
+	if num > 0 {
+		return num, nil
+	}
+	return 0, fr.err
+}
+
+// Forward implements pulse.Forwarder.
+func (no *Node) Forward(ctx context.Context, fs *pulse.FrameStream) {
+	defer fs.Close()
+	fw, release, err := no.forwards.take(fs)
+	defer release()
+	if err != nil {
+		_ = fs.SendJSON(pulse.FrameRefusal, &pulse.Refusal{
+			Status: fasthttp.StatusServiceUnavailable, Reason: err.Error(), RetryAfter: unusableRetryAfter, NotRun: true, Unusable: true,
+		})
+		return
+	}
+	if fs.Send(pulse.FrameAccept, nil) != nil {
+		return
+	}
+	if fr, err := fs.Receive(); err != nil || fr.Kind != pulse.FrameCommit {
+		return
+	}
+	sink := &forwardSink{fs: fs}
+	state := no.forwards.handler(ctx, fw, sink)
+	sink.finish(state)
+}
+
+// take reads an offered request, unless this node can't take it.
+func (fo *forwards) take(fs *pulse.FrameStream) (fw *relay.Forward, release func(), err error) {
+	const op = "entry.take"
+	size := int64(0)
+	release = func() {
+		fo.inProgress.Add(-1)
+		fo.bytes.Add(-size)
+	}
+	count := fo.inProgress.Add(1)
+	fr, err := fs.Receive()
+	if err != nil {
+		return nil, release, fault.Wrap(op, KindForward, err)
+	}
+	var of pulse.Offer
+	if err := fr.Decode(pulse.FrameOffer, &of); err != nil {
+		return nil, release, fault.Wrap(op, KindForward, err)
+	}
+	size = int64(max(0, of.BodyBytes))
+	total := fo.bytes.Add(size)
+	switch {
+	case fo.handler == nil || fo.no.leaving.Load() || !fo.no.isReady():
+		err = fault.New(op, KindForward, "this node serves no requests")
+	case fo.no.relay.IsCut(of.Service):
+		err = fault.New(op, KindForward, "this node doesn't reach the servers of %s", of.Service)
+	case count > maxForwarded || total > maxForwardedBytes:
+		err = fault.New(op, KindForward, "this node serves %d requests of other nodes", count)
+	case of.BodyBytes < 0 || units.Bytes(of.BodyBytes) > fo.no.limits().Body:
+		err = fault.New(op, KindForward, "a body of %d bytes is too large", of.BodyBytes)
+	}
+	if err != nil {
+		return nil, release, err
+	}
+	body, err := receiveBody(fs, of.BodyBytes)
+	now := time.Now()
+	return &relay.Forward{
+		ID: of.ID, Service: of.Service, Header: of.Header, Body: body, Arrived: now.Add(-of.Waited), Deadline: now.Add(of.Left),
+		Attempts: of.Attempts, LastEvent: of.LastEvent, Version: of.Version, Counted: of.Counted,
+	}, release, err
+}
+
+func receiveBody(fs *pulse.FrameStream, size int) ([]byte, error) {
+	const op = "entry.receiveBody"
+	var body []byte
+	for len(body) < size {
+		fr, err := fs.Receive()
+		if err != nil {
+			return nil, fault.Wrap(op, KindForward, err)
+		}
+		if fr.Kind != pulse.FrameBody || len(fr.Data) == 0 || len(body)+len(fr.Data) > size {
+			return nil, fault.New(op, KindForward, "%d bytes of %d, then a frame of kind %q", len(body), size, fr.Kind)
+		}
+		body = append(body, fr.Data...)
+	}
+	return body, nil
+}
+
+// forwardSink sends a response to the peer that forwarded the request. It implements
+// relay.ServedSink.
+type forwardSink struct {
+	fs      *pulse.FrameStream
+	served  server.Server
+	status  int
+	started bool
+	refusal *pulse.Refusal
+}
+
+// Served implements relay.ServedSink.
+func (si *forwardSink) Served(sv *server.Server) { si.served = *sv }
+
+// Respond implements relay.Sink.
+func (si *forwardSink) Respond(hd *fasthttp.ResponseHeader, body []byte) error {
+	hd.SetContentLength(len(body))
+	if err := si.Start(hd); err != nil {
+		return err
+	}
+	if err := si.Part(body); err != nil {
+		return err
+	}
+	return si.End()
+}
+
+// Start implements relay.Sink.
+func (si *forwardSink) Start(hd *fasthttp.ResponseHeader) error {
+	si.started, si.status = true, hd.StatusCode()
+	return si.fs.SendJSON(pulse.FrameHead, &pulse.Head{Header: hd.Header(), Server: si.served.ID, Version: si.served.Version})
+}
+
+// Part implements relay.Sink.
+func (si *forwardSink) Part(part []byte) error { return si.fs.SendBody(part) }
+
+// End implements relay.Sink.
+func (si *forwardSink) End() error { return si.fs.Send(pulse.FrameEnd, nil) }
+
+// Refuse implements relay.Sink. The refusal is sent with the final state.
+func (si *forwardSink) Refuse(status int, reason string, after time.Duration) {
+	si.status, si.refusal = status, &pulse.Refusal{Status: status, Reason: reason, RetryAfter: after}
+}
+
+// Started implements relay.Sink.
+func (si *forwardSink) Started() bool { return si.started }
+
+// Status implements relay.Sink.
+func (si *forwardSink) Status() int { return si.status }
+
+// finish ends a request that has no whole response.
+func (si *forwardSink) finish(st answer.State) {
+	if si.refusal == nil {
+		return
+	}
+	si.refusal.NotRun = st == answer.NotRun
+	// The error is ignored: the peer is gone.
+	_ = si.fs.SendJSON(pulse.FrameRefusal, si.refusal)
+}
--- a/internal/node/entry/gap_test.go
+++ b/internal/node/entry/gap_test.go
@@ -176,7 +176,7 @@
 	}, Platform{
 		Store: &no.path, DecodeRecord: splitRecord, EncodeRecord: func(string, []byte) []byte { return nil },
 		DecodeServer: decodeStatus,
-		Handler:      func(func() *routes.Config, *relay.Relay) door.Handler { return nil },
+		Handler:      func(func() *routes.Config, *relay.Relay) (door.Handler, ForwardHandler) { return nil, nil },
 	}, zap.NewNop())
 	no.since, no.late, no.knownGone, no.round = time.Now(), nil, nil, uint64(fl.rnd.IntN(100))
 	no.mu.Lock()
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -32,6 +32,11 @@
 	incarnation, storeTransitions int64
 	// config is the version in force at the peer, from its latest report.
 	config units.Version
+	// forwards is set if the peer takes requests of other nodes, load is its number of requests
+	// in progress, and unreached are the services whose servers it doesn't reach.
+	forwards  bool
+	load      int
+	unreached map[units.TargetID]bool
 }
 
 // peerWork is the work offered to a peer since its start, from its latest report.
@@ -86,6 +91,7 @@
 	Exchange(ctx context.Context, addr string, rq *pulse.Request) (*pulse.Reply, error)
 	AskPermits(ctx context.Context, addr string, rq *permit.Request) (*pulse.PermitReply, error)
 	Origins(ctx context.Context, addr string, rq *pulse.OriginsRequest) (*pulse.OriginsReply, error)
+	Forward(ctx context.Context, addr string) (*pulse.FrameStream, error)
 	Close()
 }
 
@@ -201,8 +207,8 @@
 }
 
 // exchangeWith sends this node's report to the peer at addr and applies the reply. want tells
-// whether the configuration is asked for. It returns nil if the exchange failed.
-func (no *Node) exchangeWith(ctx context.Context, client peerCaller, addr string, want pulse.ConfigRequest) *pulse.Reply {
+// whether the configuration is asked for.
+func (no *Node) exchangeWith(ctx context.Context, client peerCaller, addr string, want pulse.ConfigRequest) {
 	asked := time.Now()
 	id := no.markAsked(asked, addr)
 	no.exchanges.calls.Add(1)
@@ -216,14 +222,13 @@
 		no.exchanges.failed.Add(1)
 		no.exchanges.lastError.Store(&err)
 		no.log.Debug("exchange_failed", zap.String("peer", addr), zap.Error(err))
-		return nil
+		return
 	}
 	no.applyReport(&re.Report)
 	no.relay.ApplyCrashReport(time.Now(), re.Crashes)
 	no.applyPeerConfig(re)
 	no.notePeerConfig(&re.Report, asked)
 	no.applyServers(re, asked)
-	return re
 }
 
 // markAsked sets the time of the latest request to the peer at addr and returns its id, empty
@@ -341,6 +346,7 @@
 	if fo := no.config.Load(); fo != nil {
 		out.Config = fo.Version
 	}
+	out.Unreached, out.Forwards = no.relay.Unreached(), !no.leaving.Load()
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	out.Servers, out.StoreEra, out.ServersAge = no.servers.NextOffset(), no.serversEra, no.watch.Age(watch.Servers, now)
@@ -386,6 +392,7 @@
 	}
 	pe.incarnation, pe.storeTransitions = re.Incarnation, re.StoreTransitions
 	pe.config = re.Config
+	pe.noteForwarding(re)
 	if re.Config > no.config.Load().version() {
 		no.fetch.hear(now, re.Config)
 	}
@@ -401,6 +408,20 @@
 	}
 }
 
+// noteForwarding takes note of whether a peer takes requests of other nodes.
+func (pe *peer) noteForwarding(re *pulse.Report) {
+	pe.forwards, pe.load, pe.unreached = re.Forwards, 0, nil
+	for _, lo := range re.Loads {
+		pe.load += lo.Running
+	}
+	for _, id := range re.Unreached {
+		if pe.unreached == nil {
+			pe.unreached = map[units.TargetID]bool{}
+		}
+		pe.unreached[id] = true
+	}
+}
+
 // Exchange implements pulse.Handler. It applies a peer's report and returns this node's, with the
 // configuration and the server records that the peer lacks.
 func (no *Node) Exchange(rq *pulse.Request) *pulse.Reply {
--- a/internal/node/entry/reach_test.go
+++ b/internal/node/entry/reach_test.go
@@ -265,6 +265,11 @@
 	return &pulse.OriginsReply{}, nil
 }
 
+// Forward implements peerCaller.
+func (no *reachNode) Forward(context.Context, string) (*pulse.FrameStream, error) {
+	return nil, fault.New("entry.Forward", pulse.KindUnreachable, "the model forwards no requests")
+}
+
 // Close implements peerCaller.
 func (no *reachNode) Close() {}
 
@@ -325,7 +330,7 @@
 		Store: no, OperatorStream: reachOperators, ConfigKey: "config", ServerStream: reachServers,
 		DecodeRecord: splitRecord, EncodeRecord: func(string, []byte) []byte { return nil },
 		DecodeServer: decodeStatus, DecodeConfig: no.decodeConfig,
-		Handler: func(func() *routes.Config, *relay.Relay) door.Handler { return nil },
+		Handler: func(func() *routes.Config, *relay.Relay) (door.Handler, ForwardHandler) { return nil, nil },
 	}, zap.NewNop())
 	nd.peerClient = no
 	ctx, stop := context.WithCancel(ctx)
@@ -455,24 +460,24 @@
 	each := func(readers bool, share float64, do func(*reachNode)) func(context.Context, *reachFleet) {
 		return func(_ context.Context, fl *reachFleet) { fl.each(readers, share, do) }
 	}
-	series := func(pl play, first int, ver units.Version, count, gap int) play {
+	series := func(pl play, first, count, gap int) play {
 		for num := range count {
-			pl[first+num*gap] = put(ver+units.Version(num), largeConfig)
+			pl[first+num*gap] = put(units.Version(2+num), largeConfig)
 		}
 		return pl
 	}
 	return []reachCase{
 		{"calm", false, play{4000: put(2, 1<<10)}},
-		{"large ones in series", true, series(play{}, 4000, 2, 6, 300)},
+		{"large ones in series", true, series(play{}, 4000, 6, 300)},
 		{"the readers' polls lost their answers", false, play{0: each(true, 0, loseAnswers(reachOperators)), 3100: put(2, 1<<10)}},
 		{"all polls of the stream lost their answers", false, play{0: each(true, 1, loseAnswers(reachOperators)), 3100: put(2, 1<<10)}},
 		{"a third of the nodes hang", false, play{3000: each(false, 0.33, freeze(4*time.Second)), 3300: put(2, 1<<10)}},
 		{"half of the nodes hang and the readers with them", false, play{3000: each(true, 0.5, freeze(4*time.Second)), 3300: put(2, 1<<10)}},
-		{"large ones in series, and a third of the nodes hang", false, series(play{3000: each(false, 0.33, freeze(5*time.Second))}, 3300, 2, 5, 300)},
+		{"large ones in series, and a third of the nodes hang", false, series(play{3000: each(false, 0.33, freeze(5*time.Second))}, 3300, 5, 300)},
 		{"the readers die before a large one", false, play{3000: each(true, 0, kill), 3050: put(2, largeConfig)}},
-		{"the readers die after large ones in series", true, series(play{3500: each(true, 0, kill), 3550: put(10, largeConfig)}, 100, 2, 8, 400)},
+		{"the readers die after large ones in series", true, series(play{3500: each(true, 0, kill), 3550: put(10, largeConfig)}, 100, 8, 400)},
 		{"the readers lose the store before a large one", false, play{3000: each(true, 0, silence(6*time.Second)), 3050: put(2, largeConfig)}},
-		{"the readers lose the store after large ones in series", false, series(play{3500: each(true, 0, silence(6*time.Second)), 3550: put(10, largeConfig)}, 100, 2, 8, 400)},
+		{"the readers lose the store after large ones in series", false, series(play{3500: each(true, 0, silence(6*time.Second)), 3550: put(10, largeConfig)}, 100, 8, 400)},
 		{"half of the nodes die before a large one", false, play{3000: each(false, 0.5, kill), 3050: put(2, largeConfig)}},
 		{"nodes join beside large ones in series", false, series(play{
 			3000: each(true, 0.3, kill), 3500: func(ctx context.Context, fl *reachFleet) {
@@ -482,7 +487,7 @@
 					}
 				}
 			},
-		}, 3600, 2, 5, 300)},
+		}, 3600, 5, 300)},
 	}
 }
 
--- a/internal/node/entry/ready.go
+++ b/internal/node/entry/ready.go
@@ -62,6 +62,7 @@
 		"attempts_total": co.Sent.Load, "attempts_refused_total": co.Refused.Load,
 		"requests_no_permit_total": co.NoPermit.Load, "requests_blocked_total": co.Blocked.Load, "requests_no_origin_total": co.NoOrigin.Load, "permits_issued_total": co.PermitsIssued.Load,
 		"permits_asked_total": co.PermitsAsked.Load, "permits_failed_total": co.PermitsFailed.Load,
+		"requests_detoured_total": co.Detoured.Load, "requests_for_peers_total": co.ForPeers.Load,
 		"config_version": func() int64 {
 			if fo := no.config.Load(); fo != nil {
 				return int64(fo.Version)
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -62,6 +62,10 @@
 	// StoreTransitions counts the losses and recoveries of the store that the node has seen
 	// since its start. When it grows, peers restart their own reads of the store.
 	StoreTransitions int64 `json:"store_turns,omitempty"`
+	// Forwards is set by nodes that take requests of other nodes.
+	Forwards bool `json:"forwards,omitempty"`
+	// Unreached are the services whose servers the node can't reach by its own network.
+	Unreached []units.TargetID `json:"unreached,omitempty"`
 	// Config is the version of the configuration in force at the node, and ConfigAge the time
 	// since it was last known to match the store. Nodes up to version 0.4 send no age.
 	Config    units.Version `json:"config"`
@@ -204,12 +208,13 @@
 // Client calls peers and keeps idle connections for reuse.
 type Client struct {
 	pool     *drpcpool.Pool[string, drpcpool.Conn]
+	forwards *drpcpool.Pool[string, drpcpool.Conn]
 	encoding jsonEncoding
 }
 
 // NewClient returns a client without connections that counts its messages in tr.
 func NewClient(tr *Traffic) *Client {
-	return &Client{encoding: jsonEncoding{tr}, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+	return &Client{encoding: jsonEncoding{tr}, forwards: newForwardPool(), pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 		Expiration: idleTimeout, Capacity: maxIdleConns, KeyCapacity: maxIdlePerPeer,
 	})}
 }
@@ -261,7 +266,10 @@
 }
 
 // Close closes the idle connections.
-func (cl *Client) Close() { _ = cl.pool.Close() }
+func (cl *Client) Close() {
+	_ = cl.pool.Close()
+	_ = cl.forwards.Close()
+}
 
 // Handler handles the calls of peers, which may be concurrent.
 type Handler interface {
@@ -289,6 +297,11 @@
 		return fault.Wrap(op, KindFailed, answer(st, ha.encoding, ha.handle.Permits))
 	case originsMethod:
 		return fault.Wrap(op, KindFailed, answer(st, ha.encoding, ha.handle.Origins))
+	case forwardMethod:
+		if fw, ok := ha.handle.(Forwarder); ok {
+			fw.Forward(st.Context(), &FrameStream{stream: st, encoding: frameEncoding{ha.encoding.traffic}})
+			return nil
+		}
 	}
 	return fault.New(op, KindFailed, "unknown method %.40q", rpc)
 }
--- a/internal/rule/detour/detour.go
+++ b/internal/rule/detour/detour.go
@@ -24,18 +24,22 @@
 	stallTimeout = 250 * time.Millisecond
 	// failureMemory is how long a failure counts.
 	failureMemory = 2 * time.Second
-	// confirmProbes is the number of servers that are probed on a suspicion, and ProbeTimeout
-	// bounds a probe.
+	// confirmProbes is the number of servers that are probed on a suspicion.
 	confirmProbes = 3
-	ProbeTimeout  = 300 * time.Millisecond
+	// ProbeTimeout bounds a probe.
+	ProbeTimeout = 300 * time.Millisecond
 	// probeInterval is the time between two probes of a path that is cut.
 	probeInterval = 200 * time.Millisecond
 	// minAccepted is the number of probes in a row that succeed before a path is used again. It
 	// doubles with each cut that follows the return of the path within relapseTime.
-	minAccepted  = 2
-	maxAccepted  = 16
-	relapseTime  = 5 * time.Second
-	clearedPause = 500 * time.Millisecond
+	minAccepted = 2
+	maxAccepted = 16
+	relapseTime = 5 * time.Second
+	// The pause after a refuted suspicion doubles with each one that follows soon.
+	minClearedPause = 500 * time.Millisecond
+	maxClearedPause = 8 * time.Second
+	// doubtPause is the time between two probes of a path since another one is cut.
+	doubtPause = 2 * time.Second
 )
 
 // State is the state of a path.
@@ -68,6 +72,11 @@
 	// returnedAt is when the path was last used again after a cut, clearedAt when a suspicion
 	// was last refuted.
 	returnedAt, clearedAt time.Time
+	// clearedPause is the time after clearedAt in which there is no new suspicion.
+	clearedPause time.Duration
+	// cutAt is when the path was last found to be cut, doubtedAt when it was last doubted since
+	// another path is cut.
+	cutAt, doubtedAt time.Time
 	// silent is set if established connections don't answer either.
 	silent bool
 }
@@ -119,9 +128,33 @@
 		}
 	}
 	need := min(minFailed, servers)
-	return need > 0 && (len(pa.failed) >= need || waiting >= need) && now.Sub(pa.clearedAt) > clearedPause
+	if need == 0 || now.Sub(pa.clearedAt) < pa.clearedPause {
+		return false
+	}
+	return len(pa.failed) >= need || waiting >= need || pa.doubtedAt.Equal(now)
+}
+
+// Doubt raises a suspicion since the path to the servers of another service is cut, which may
+// have the same cause.
+func (pa *Path) Doubt(now time.Time) {
+	if pa.state == Open && now.Sub(pa.doubtedAt) > doubtPause {
+		pa.doubtedAt = now
+	}
 }
 
+// FailedElsewhere reports whether requests have failed at other servers with no answer since.
+func (pa *Path) FailedElsewhere(id units.VMID) bool {
+	for other := range pa.failed {
+		if other != id {
+			return true
+		}
+	}
+	return false
+}
+
+// CutAt returns when the path was last found to be cut.
+func (pa *Path) CutAt() time.Time { return pa.cutAt }
+
 // Waiting tells at how many servers requests have to wait since stallTimeout.
 type Waiting func(longerThan time.Duration) int
 
@@ -166,7 +199,10 @@
 	pa.pending = max(0, pa.pending-1)
 	switch {
 	case pa.state == Suspected && accepted:
-		pa.clearedAt = now
+		if now.Sub(pa.clearedAt) > 2*maxClearedPause {
+			pa.clearedPause = 0
+		}
+		pa.clearedAt, pa.clearedPause = now, min(max(minClearedPause, 2*pa.clearedPause), maxClearedPause)
 		clear(pa.failed)
 		pa.enter(now, Open)
 		return Open, true
@@ -176,7 +212,7 @@
 		} else {
 			pa.needed = min(2*pa.needed, maxAccepted)
 		}
-		pa.accepted = 0
+		pa.accepted, pa.cutAt = 0, now
 		pa.enter(now, Cut)
 		return Cut, true
 	case pa.state == Cut && !accepted:
--- a/internal/rule/place/fleet.go
+++ b/internal/rule/place/fleet.go
@@ -191,6 +191,47 @@
 	return count
 }
 
+// Forgive forgets the failures of all servers, which were not theirs.
+func (fl *Fleet) Forgive(now time.Time) {
+	for _, st := range fl.servers {
+		st.health, st.errorRate, st.avoidUntil, st.lastResponse = retry.Health{}, 0, time.Time{}, now
+	}
+}
+
+// Open returns the servers that don't drain.
+func (fl *Fleet) Open() []units.VMID {
+	out := make([]units.VMID, 0, len(fl.servers))
+	for _, st := range fl.servers {
+		if !st.Draining {
+			out = append(out, st.ID)
+		}
+	}
+	return out
+}
+
+// Server returns a server, nil if it is not in the list.
+func (fl *Fleet) Server(id units.VMID) *server.Server {
+	if st := fl.byID[id]; st != nil {
+		return &st.Server
+	}
+	return nil
+}
+
+// Waiting returns the number of servers at which a request has waited for the beginning of its
+// response for longer than du, besides the time that its prompt takes.
+func (fl *Fleet) Waiting(now time.Time, du time.Duration) int {
+	count := 0
+	for _, st := range fl.servers {
+		for _, di := range st.awaitingFirst {
+			if now.Sub(di.at) > du+fl.prefillTime(di.uncached, 2) {
+				count++
+				break
+			}
+		}
+	}
+	return count
+}
+
 // List returns the servers as they were set, without their load.
 func (fl *Fleet) List() []*server.Server {
 	out := make([]*server.Server, 0, len(fl.servers))
