--- a/internal/bench/crowd/crash.go
+++ b/internal/bench/crowd/crash.go
@@ -420,9 +420,13 @@
 		return
 	}
 	sv := permit.Server{ID: rq.engine.id, StartUnixMS: rq.engine.incarnation}
-	rq.node.crashes.Lost(now, sv, crash.Loss{
-		Request: uint32(xxhash.Sum64String(string(rq.id))), Content: rq.content(), At: now, Parts: rq.sharedParts(),
-	})
+	rq.node.crashes.Lost(now, sv, rq.loss())
+}
+
+func (rq *request) loss() crash.Loss {
+	return crash.Loss{
+		Request: uint32(xxhash.Sum64String(string(rq.id))), Content: rq.content(), At: rq.ru.now, Parts: rq.sharedParts(),
+	}
 }
 
 // blocks refuses a request that holds a blocked part.
--- a/internal/bench/crowd/crowd.go
+++ b/internal/bench/crowd/crowd.go
@@ -41,6 +41,8 @@
 	Streams Streams
 	// Crashes makes servers crash.
 	Crashes Crashes
+	// Cuts are times in which nodes reach no server.
+	Cuts []Cut
 }
 
 // Reclaim gives notice to servers at At and ends them Notice later. Replacements start to
@@ -115,6 +117,8 @@
 	Streams StreamResult
 	// Crashes summarises the requests that crash servers.
 	Crashes CrashResult
+	// Cuts summarises the first tries beside cuts.
+	Cuts CutResult
 	// Seconds holds the counts by the second of arrival.
 	Seconds []Counts
 }
@@ -214,6 +218,7 @@
 		ru.scheduleAt(rc.At, func() { ru.reclaim(rc) })
 	}
 	ru.scheduleCrashes()
+	ru.scheduleCuts()
 	ru.scheduleAt(0, ru.arrive)
 	for len(ru.events) > 0 {
 		ev := heap.Pop(&ru.events).(event)
--- a/internal/bench/crowd/engine.go
+++ b/internal/bench/crowd/engine.go
@@ -113,6 +113,8 @@
 	ru := rq.ru
 	en.recordArrival(ru.now, rq.node)
 	rq.reach()
+	rq.runs++
+	ru.result.Cuts.MostRuns = max(ru.result.Cuts.MostRuns, rq.runs)
 	rq.sentAt = ru.now
 	en.running[rq] = struct{}{}
 	fresh := en.prefill(&rq.ask)
@@ -154,6 +156,8 @@
 	rq.countBegun()
 	rq.beganAt = rq.ru.now
 	rq.node.crashes.Heard(rq.sentAt, permit.Server{ID: rq.engine.id, StartUnixMS: rq.engine.incarnation})
+	rq.countServed()
+	rq.node.path.Answered(rq.ru.now)
 	rq.node.fleet.FirstToken(rq.ru.now, rq.engine.id, rq.ticket)
 	rq.passLimitOn()
 	rq.beginStream()
--- a/internal/bench/crowd/node.go
+++ b/internal/bench/crowd/node.go
@@ -6,6 +6,7 @@
 
 	"lycheepick/internal/rule/admit"
 	"lycheepick/internal/rule/crash"
+	"lycheepick/internal/rule/detour"
 	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/pool"
@@ -60,6 +61,18 @@
 	faults   []Fault
 	// incarnation numbers the starts of the node.
 	incarnation int64
+	// path and detours are the state of the path to the servers, and isCut is set while it counts
+	// as cut. dialing holds the requests that wait for a connection, with their sends.
+	path    *detour.Path
+	detours *detour.Nodes
+	isCut   bool
+	found   int
+	dialing map[*request]int
+	cuts    []Cut
+	// unreached holds the peers that have reported that they reach no server, lost those that
+	// didn't answer, and running is the number of requests in progress.
+	unreached, lost map[units.VMID]bool
+	running         int
 }
 
 func nodeID(num int) units.VMID { return units.VMID(fmt.Sprint("node-", num)) }
@@ -79,6 +92,8 @@
 	no.permits, no.members, no.asking, no.permitRetry = permit.NewBook(), permit.NewMembers(no.id), map[permit.Server]bool{}, permit.RetryAfter{}
 	no.origins, no.versions = origin.NewBook(), origin.NewVersions()
 	no.crashes = crash.NewBook(uint32(num)<<8 | uint32(no.incarnation))
+	no.path, no.detours, no.isCut, no.dialing = detour.NewPath(), detour.NewNodes(), false, map[*request]int{}
+	no.unreached, no.lost, no.running = map[units.VMID]bool{}, map[units.VMID]bool{}, 0
 	no.peers = nil
 	li := ru.limit()
 	if ru.Naive {
@@ -116,6 +131,10 @@
 				continue
 			}
 			delete(en.running, rq)
+			if rq.origin != nil {
+				no.dropForwarded(rq)
+				continue
+			}
 			if rq.stream != nil && no.ru.Load.Streams.CutShare > 0 {
 				rq.resume()
 			}
@@ -141,6 +160,7 @@
 		if no.isolated() || no.ru.byID[id].isolated() {
 			if !no.down() {
 				no.members.CallFailed(no.ru.now, id)
+				no.lost[id] = true
 			}
 			continue
 		}
@@ -165,6 +185,8 @@
 	no.members.Heard(now, other.id, true)
 	no.permits.Merge(now, other.permits.Observations(now))
 	no.versions.Merge(now, other.versions.Several(now))
+	no.unreached[other.id] = other.path.State() == detour.Cut
+	no.lost[other.id] = false
 }
 
 // request is one request of a caller.
@@ -200,6 +222,14 @@
 	beganAt time.Time
 	// begun is what a sound request counts for that begins at its first attempt.
 	begun *int
+	// origin is the node that forwarded the request to the node that sends it, nil if none did.
+	// noOpen is set once no open connection was left on a path that is cut. try counts the
+	// request beside cuts.
+	origin *node
+	noOpen bool
+	try    *cutTry
+	// runs counts the servers that the request has reached.
+	runs int
 }
 
 // bucket returns the counts for the second in which the request arrived.
@@ -222,6 +252,7 @@
 	rq.node = no
 	rq.countArrival(no)
 	rq.countSound()
+	rq.countTry(no)
 	if no.blocks(rq) {
 		return
 	}
@@ -257,7 +288,11 @@
 		rq.record(func(co *Counts) *int { return &co.Lost })
 		return
 	}
-	no.pool.Refund(rq.customer, rq.size())
+	payer := no
+	if rq.origin != nil {
+		payer = rq.origin
+	}
+	payer.pool.Refund(rq.customer, rq.size())
 	rq.refuse(after)
 }
 
@@ -268,7 +303,7 @@
 	if rq.ru.Load.IgnoreRetryAfter {
 		after = immediateRetryDelay
 	}
-	rq.begun = nil
+	rq.begun, rq.try, rq.origin, rq.noOpen = nil, nil, nil, false
 	if rq.counted {
 		return
 	}
@@ -293,6 +328,10 @@
 	if no.blocks(rq) {
 		return
 	}
+	if no.takesDetour(rq) {
+		no.forward(rq, 0)
+		return
+	}
 	ch, found := no.choose(rq)
 	if ch.Held != nil && rq.asks < maxAsks && (!found || rq.asks == 0) {
 		rq.asks++
@@ -325,7 +364,11 @@
 	rq.ticket = no.fleet.Dispatch(no.ru.now, &rq.ask, &ch)
 	no.permits.Use(no.ru.now, permitServer(&ch.Server))
 	no.inFlight[ch.Server.ID]++
+	no.running++
 	rq.engine = no.ru.engineOf(ch.Server.ID)
+	if no.sendOverCut(rq) {
+		return
+	}
 	if !rq.engine.isServing(ch.Server.ID) {
 		rq.engine = &engine{id: ch.Server.ID, running: map[*request]struct{}{}}
 		no.ru.scheduleAfter(roundTrip, rq.unreachable)
@@ -419,6 +462,10 @@
 func (rq *request) attemptEnded(res place.Result) {
 	rq.node.fleet.End(rq.ru.now, rq.engine.id, rq.ticket, res)
 	rq.node.inFlight[rq.engine.id]--
+	rq.node.running--
+	if rq.origin != nil {
+		rq.origin.detours.Ended(rq.node.id)
+	}
 	delete(rq.engine.running, rq)
 }
 
--- a/internal/node/entry/forward.go
+++ b/internal/node/entry/forward.go
@@ -49,7 +49,7 @@
 }
 
 // choose returns a peer that may take a request of a service.
-func (fo *forwards) choose(service units.TargetID) (pulse.Peer, bool) {
+func (fo *forwards) choose(service units.TargetID, retry bool) (pulse.Peer, bool) {
 	no := fo.no
 	no.mu.Lock()
 	var ids []units.VMID
@@ -63,15 +63,15 @@
 	no.mu.Unlock()
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	id, ok := fo.nodes.Choose(time.Now(), service, ids, func(id units.VMID) int { return load[id] })
+	id, ok := fo.nodes.Choose(time.Now(), service, ids, retry, func(id units.VMID) int { return load[id] })
 	return pulse.Peer{Node: id, Address: addrs[id]}, ok
 }
 
 // Forward implements relay.Detours.
 func (fo *forwards) Forward(ctx context.Context, fw *relay.Forward) (*relay.Reply, error) {
 	const op = "entry.Forward"
-	for range maxForwardTries {
-		to, ok := fo.choose(fw.Service)
+	for num := range maxForwardTries {
+		to, ok := fo.choose(fw.Service, num > 0)
 		if !ok || ctx.Err() != nil {
 			break
 		}
@@ -79,9 +79,6 @@
 		if err == nil || fault.Is(err, KindForward) {
 			return rp, relayError(op, relay.KindBroken, err)
 		}
-		fo.mu.Lock()
-		fo.nodes.Unusable(time.Now(), to.Node, fw.Service)
-		fo.mu.Unlock()
 	}
 	return nil, relayError(op, relay.KindNoDetour, fault.New(op, KindForward, "no other node takes requests of %s", fw.Service))
 }
@@ -97,7 +94,8 @@
 		cancel()
 		fo.ended(to.Node)
 	})
-	fs, err := fo.offer(ctx, cancel, to, fw)
+	fs, declined, err := fo.offer(ctx, cancel, to, fw)
+	fo.noteOffer(to.Node, fw.Service, declined, err)
 	if err != nil {
 		done()
 		return nil, err
@@ -121,15 +119,34 @@
 	fo.nodes.Ended(id)
 }
 
-// offer offers a request to a peer and commits it once the peer has taken it.
-func (fo *forwards) offer(ctx context.Context, abort context.CancelFunc, to pulse.Peer, fw *relay.Forward) (*pulse.FrameStream, error) {
+// noteOffer records whether a peer took a request. One that declined names peers that do.
+func (fo *forwards) noteOffer(id units.VMID, service units.TargetID, declined *pulse.Refusal, err error) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	now := time.Now()
+	switch {
+	case err == nil:
+		fo.nodes.Took(now, id, service)
+	case declined == nil:
+		fo.nodes.Silent(now, id, service)
+	default:
+		fo.nodes.Declined(now, id, service)
+		for _, hint := range declined.Try {
+			fo.nodes.Took(now, hint, service)
+		}
+	}
+}
+
+// offer offers a request to a peer and commits it once the peer has taken it. refusal is set if
+// the peer declined.
+func (fo *forwards) offer(ctx context.Context, abort context.CancelFunc, to pulse.Peer, fw *relay.Forward) (fs *pulse.FrameStream, refusal *pulse.Refusal, err error) {
 	const op = "entry.offer"
 	tm := time.AfterFunc(acceptTimeout, abort)
 	defer tm.Stop()
 	declined := func(err error) error { return fault.Wrap(op, KindDeclined, err) }
-	fs, err := fo.no.peerClient.Forward(ctx, to.Address)
+	fs, err = fo.no.peerClient.Forward(ctx, to.Address)
 	if err != nil {
-		return nil, declined(err)
+		return nil, nil, declined(err)
 	}
 	now := time.Now()
 	err = fs.SendJSON(pulse.FrameOffer, &pulse.Offer{
@@ -140,19 +157,23 @@
 		err = fs.SendBody(fw.Body)
 	}
 	if err != nil {
-		return nil, declined(err)
+		return nil, nil, declined(err)
 	}
 	fr, err := fs.Receive()
-	if err == nil && fr.Kind != pulse.FrameAccept {
-		err = fault.New(op, KindDeclined, "%s declined: %.200s", to.Node, fr.Data)
-	}
 	if err != nil {
-		return nil, declined(err)
+		return nil, nil, declined(err)
+	}
+	if fr.Kind != pulse.FrameAccept {
+		refusal = &pulse.Refusal{}
+		if err := fr.Decode(pulse.FrameRefusal, refusal); err != nil {
+			return nil, nil, declined(err)
+		}
+		return nil, refusal, fault.New(op, KindDeclined, "%s declined: %s", to.Node, refusal.Reason)
 	}
 	if !tm.Stop() {
-		return nil, fault.New(op, KindDeclined, "%s took longer than %s", to.Node, acceptTimeout)
+		return nil, nil, fault.New(op, KindDeclined, "%s took longer than %s", to.Node, acceptTimeout)
 	}
-	return fs, fault.Wrap(op, KindForward, fs.Send(pulse.FrameCommit, nil))
+	return fs, nil, fault.Wrap(op, KindForward, fs.Send(pulse.FrameCommit, nil))
 }
 
 // receiveReply reads the header of the response. The reply's Close calls done.
@@ -196,8 +217,8 @@
 	for len(fr.rest) == 0 && fr.err == nil {
 		next, err := fr.fs.Receive()
 		switch {
-		case err != nil:
-			fr.err = fault.Wrap(op, KindForward, err)
+		case err != nil: // Not wrapped, since it may be io.EOF.
+			fr.err = fault.New(op, KindForward, "%v: %s", io.ErrUnexpectedEOF, err)
 		case next.Kind == pulse.FrameBody:
 			fr.rest = next.Data
 		case next.Kind == pulse.FrameEnd:
@@ -217,11 +238,11 @@
 // Forward implements pulse.Forwarder.
 func (no *Node) Forward(ctx context.Context, fs *pulse.FrameStream) {
 	defer fs.Close()
-	fw, release, err := no.forwards.take(fs)
+	fw, hints, release, err := no.forwards.take(fs)
 	defer release()
 	if err != nil {
 		_ = fs.SendJSON(pulse.FrameRefusal, &pulse.Refusal{
-			Status: fasthttp.StatusServiceUnavailable, Reason: err.Error(), RetryAfter: unusableRetryAfter, NotRun: true, Unusable: true,
+			Status: fasthttp.StatusServiceUnavailable, Reason: err.Error(), RetryAfter: unusableRetryAfter, NotRun: true, Try: hints,
 		})
 		return
 	}
@@ -236,8 +257,8 @@
 	sink.finish(state)
 }
 
-// take reads an offered request, unless this node can't take it.
-func (fo *forwards) take(fs *pulse.FrameStream) (fw *relay.Forward, release func(), err error) {
+// take reads an offered request, unless this node can't take it: then it returns peers that may.
+func (fo *forwards) take(fs *pulse.FrameStream) (fw *relay.Forward, hints []units.VMID, release func(), err error) {
 	const op = "entry.take"
 	size := int64(0)
 	release = func() {
@@ -247,33 +268,47 @@
 	count := fo.inProgress.Add(1)
 	fr, err := fs.Receive()
 	if err != nil {
-		return nil, release, fault.Wrap(op, KindForward, err)
+		return nil, nil, release, fault.Wrap(op, KindForward, err)
 	}
 	var of pulse.Offer
 	if err := fr.Decode(pulse.FrameOffer, &of); err != nil {
-		return nil, release, fault.Wrap(op, KindForward, err)
+		return nil, nil, release, fault.Wrap(op, KindForward, err)
 	}
 	size = int64(max(0, of.BodyBytes))
 	total := fo.bytes.Add(size)
-	switch {
-	case fo.handler == nil || fo.no.leaving.Load() || !fo.no.isReady():
-		err = fault.New(op, KindForward, "this node serves no requests")
-	case fo.no.relay.IsCut(of.Service):
-		err = fault.New(op, KindForward, "this node doesn't reach the servers of %s", of.Service)
-	case count > maxForwarded || total > maxForwardedBytes:
-		err = fault.New(op, KindForward, "this node serves %d requests of other nodes", count)
-	case of.BodyBytes < 0 || units.Bytes(of.BodyBytes) > fo.no.limits().Body:
-		err = fault.New(op, KindForward, "a body of %d bytes is too large", of.BodyBytes)
-	}
+	err = fo.admits(&of, count, total)
 	if err != nil {
-		return nil, release, err
+		return nil, fo.hints(of.Service), release, err
 	}
 	body, err := receiveBody(fs, of.BodyBytes)
 	now := time.Now()
 	return &relay.Forward{
 		ID: of.ID, Service: of.Service, Header: of.Header, Body: body, Arrived: now.Add(-of.Waited), Deadline: now.Add(of.Left),
 		Attempts: of.Attempts, LastEvent: of.LastEvent, Version: of.Version, Counted: of.Counted,
-	}, release, err
+	}, nil, release, err
+}
+
+// admits returns an error if this node can't take a request. count and total are the requests of
+// peers in progress and the bytes of their bodies, this one included.
+func (fo *forwards) admits(of *pulse.Offer, count, total int64) error {
+	const op = "entry.admits"
+	switch {
+	case fo.handler == nil || fo.no.leaving.Load() || !fo.no.isReady():
+		return fault.New(op, KindForward, "this node serves no requests")
+	case fo.no.relay.IsCut(of.Service):
+		return fault.New(op, KindForward, "this node doesn't reach the servers of %s", of.Service)
+	case count > maxForwarded || total > maxForwardedBytes:
+		return fault.New(op, KindForward, "this node serves %d requests of other nodes", count)
+	case of.BodyBytes < 0 || units.Bytes(of.BodyBytes) > fo.no.limits().Body:
+		return fault.New(op, KindForward, "a body of %d bytes is too large", of.BodyBytes)
+	}
+	return nil
+}
+
+func (fo *forwards) hints(service units.TargetID) []units.VMID {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return fo.nodes.Hints(time.Now(), service)
 }
 
 func receiveBody(fs *pulse.FrameStream, size int) ([]byte, error) {
--- /dev/null
+++ b/internal/node/entry/forward_test.go
@@ -0,0 +1,173 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"lycheepick/internal/edge/door"
+	"lycheepick/internal/edge/relay"
+	"lycheepick/internal/node/config"
+	"lycheepick/internal/peer/pulse"
+	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/state/answer"
+	"lycheepick/internal/state/routes"
+)
+
+// forwardPeer is a peer that handles forwarded requests by a function.
+type forwardPeer struct {
+	pulse.Handler
+	handle func(ctx context.Context, fs *pulse.FrameStream)
+}
+
+// Forward implements pulse.Forwarder.
+func (fp *forwardPeer) Forward(ctx context.Context, fs *pulse.FrameStream) { fp.handle(ctx, fs) }
+
+// acceptOffer reads an offer without a body, takes it and waits for the commit.
+func acceptOffer(fs *pulse.FrameStream) {
+	_, _ = fs.Receive()
+	_ = fs.Send(pulse.FrameAccept, nil)
+	_, _ = fs.Receive()
+}
+
+func sendHead(fs *pulse.FrameStream) {
+	var hd fasthttp.ResponseHeader
+	hd.SetContentLength(10)
+	_ = fs.SendJSON(pulse.FrameHead, &pulse.Head{Header: hd.Header(), Server: "s-1", Version: "v2"})
+	_ = fs.SendBody([]byte("01234"))
+}
+
+// TestForwardTellsWhatMayHaveRun guards against a request that is refused as not run although a
+// peer may run it, sent to another peer too, or answered as whole although the answer was cut.
+func TestForwardTellsWhatMayHaveRun(t *testing.T) {
+	hang := func(ctx context.Context, _ *pulse.FrameStream) { <-ctx.Done() }
+	for _, tt := range []struct {
+		name   string
+		handle func(ctx context.Context, fs *pulse.FrameStream)
+		// want is the kind of the error, "" for none; refusal the status of a refusal and body the
+		// error of the body.
+		want    relay.Kind
+		refusal int
+		body    error
+		// within bounds the time until the header of the response.
+		within time.Duration
+	}{
+		{"frozen", hang, relay.KindNoDetour, 0, nil, 2 * acceptTimeout},
+		{"declines", func(_ context.Context, fs *pulse.FrameStream) {
+			_, _ = fs.Receive()
+			_ = fs.SendJSON(pulse.FrameRefusal, &pulse.Refusal{Status: 503, NotRun: true})
+		}, relay.KindNoDetour, 0, nil, acceptTimeout},
+		{"ends before it takes the request", func(context.Context, *pulse.FrameStream) {}, relay.KindNoDetour, 0, nil, acceptTimeout},
+		{"ends after it took the request", func(_ context.Context, fs *pulse.FrameStream) { acceptOffer(fs) }, relay.KindBroken, 0, nil, time.Second},
+		{"refuses after it took the request", func(_ context.Context, fs *pulse.FrameStream) {
+			acceptOffer(fs)
+			_ = fs.SendJSON(pulse.FrameRefusal, &pulse.Refusal{Status: 503, NotRun: true})
+		}, "", 503, nil, time.Second},
+		{"ends within the body", func(_ context.Context, fs *pulse.FrameStream) {
+			acceptOffer(fs)
+			sendHead(fs)
+		}, "", 0, io.ErrUnexpectedEOF, time.Second},
+		{"answers", func(_ context.Context, fs *pulse.FrameStream) {
+			acceptOffer(fs)
+			sendHead(fs)
+			_ = fs.SendBody([]byte("56789"))
+			_ = fs.Send(pulse.FrameEnd, nil)
+		}, "", 0, nil, time.Second},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			no := newForwardTest(t, tt.handle)
+			began := time.Now()
+			rp, err := no.forwards.Forward(t.Context(), &relay.Forward{ID: "r", Service: "app", Deadline: began.Add(5 * time.Second)})
+			if took := time.Since(began); took > tt.within {
+				t.Errorf("took %s, want %s at most", took, tt.within)
+			}
+			if err != nil || tt.want != "" {
+				if tt.want == "" || !fault.Is(err, tt.want) {
+					t.Errorf("have error %v, want kind %q", err, tt.want)
+				}
+				return
+			}
+			defer rp.Close()
+			if tt.refusal > 0 {
+				if rp.Refusal == nil || rp.Refusal.Status != tt.refusal || !rp.Refusal.NotRun {
+					t.Errorf("have %+v, want a refusal with %d that has not run", rp.Refusal, tt.refusal)
+				}
+				return
+			}
+			body, err := io.ReadAll(rp.Body)
+			if (tt.body != nil) != (err != nil) || errors.Is(err, io.EOF) && tt.body != nil {
+				t.Errorf("have %q and error %v, want error %v", body, err, tt.body)
+			}
+			if tt.body == nil && string(body) != "0123456789" || rp.Server.Version != "v2" {
+				t.Errorf("have %q of version %q", body, rp.Server.Version)
+			}
+		})
+	}
+}
+
+// newForwardTest returns a node that knows one peer.
+func newForwardTest(t *testing.T, handle func(ctx context.Context, fs *pulse.FrameStream)) *Node {
+	t.Helper()
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = pulse.Serve(ctx, ls, &forwardPeer{handle: handle}, &pulse.Traffic{})
+	}()
+	no := newForwardNode()
+	t.Cleanup(func() {
+		no.peerClient.Close()
+		stop()
+		<-done
+	})
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	no.addPeer(pulse.Peer{Node: "peer", Address: ls.Addr().String()}).forwards = true
+	return no
+}
+
+// newForwardNode returns a node that takes requests of peers.
+func newForwardNode() *Node {
+	no := New(&config.EntrySettings{VM: config.EntryVM{ID: "node-1", Zone: "z1"}}, Platform{
+		Handler: func(func() *routes.Config, *relay.Relay) (door.Handler, ForwardHandler) {
+			return nil, func(context.Context, *relay.Forward, relay.ServedSink) answer.State { return answer.NotRun }
+		},
+	}, zap.NewNop())
+	no.config.Store(newActiveConfig(&routes.Config{Version: 1}, nil))
+	no.serversLoaded.Store(true)
+	return no
+}
+
+// TestForwardedRequestsAreBounded guards against peers that take all of a node's memory.
+func TestForwardedRequestsAreBounded(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		body  int
+		count int64
+		bytes int64
+		takes bool
+	}{
+		{"the last that fits", 10, maxForwarded - 1, maxForwardedBytes - 10, true},
+		{"too many requests", 10, maxForwarded, 0, false},
+		{"too many bytes", 1 << 20, 0, maxForwardedBytes, false},
+		{"a body over the limit", int(defaultBody) + 1, 0, 0, false},
+		{"a negative size", -1, 0, 0, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			err := newForwardNode().forwards.admits(&pulse.Offer{Service: "app", BodyBytes: tt.body}, tt.count+1, tt.bytes+int64(tt.body))
+			if (err == nil) != tt.takes {
+				t.Errorf("have error %v, want the request taken: %t", err, tt.takes)
+			}
+		})
+	}
+}
--- a/internal/node/entry/ready.go
+++ b/internal/node/entry/ready.go
@@ -79,7 +79,8 @@
 			defer no.mu.Unlock()
 			return no.watch.Age(watch.Config, time.Now()).Milliseconds()
 		},
-		"servers_draining": no.draining.Load,
+		"servers_draining":   no.draining.Load,
+		"services_unreached": func() int64 { return int64(len(no.relay.Unreached())) },
 		"reads_store": func() int64 {
 			no.mu.Lock()
 			defer no.mu.Unlock()
--- a/internal/peer/pulse/forward.go
+++ b/internal/peer/pulse/forward.go
@@ -78,8 +78,8 @@
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
 	// NotRun is set if the request has not run.
 	NotRun bool `json:"not_run"`
-	// Unusable is set if the peer can't take requests of the service for now.
-	Unusable bool `json:"unusable,omitempty"`
+	// Try names nodes that may take a request that the peer declined.
+	Try []units.VMID `json:"try,omitempty"`
 }
 
 // frameEncoding implements drpc.Encoding for frames.
--- a/internal/rule/detour/detour.go
+++ b/internal/rule/detour/detour.go
@@ -108,7 +108,7 @@
 func (pa *Path) Failed(now time.Time, id units.VMID) {
 	pa.failed[id] = now
 	if pa.state == Cut {
-		pa.silent = pa.silent || pa.answeredAt.Before(pa.since)
+		pa.silent = pa.silent || !pa.answeredAt.After(pa.since)
 	}
 }
 
--- a/internal/rule/detour/pick.go
+++ b/internal/rule/detour/pick.go
@@ -2,22 +2,29 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lycheepick/internal/rule/units"
 )
 
 const (
-	// unusableTime is how long a node is passed over that could not take a request.
-	unusableTime = time.Second
+	// declinedTime is how long a node is passed over that declined a request, silentTime how long
+	// one is that didn't answer, and goodTime how long one that took a request counts as good.
+	declinedTime = time.Second
+	silentTime   = 5 * time.Second
+	goodTime     = 3 * time.Second
 	// samples is the number of nodes of which the least loaded one is chosen.
 	samples = 3
+	// maxHints bounds the good nodes that are named to a node whose request is declined.
+	maxHints = 3
 )
 
 // Nodes chooses the nodes through which requests go.
 type Nodes struct {
-	// unusable holds when a node could last not take a request of a service.
-	unusable map[nodeService]time.Time
+	// unusable holds until when a node is passed over for a service, and good when it last took a
+	// request.
+	unusable, good map[nodeService]time.Time
 	// sent counts the requests in progress through each node.
 	sent map[units.VMID]int
 }
@@ -29,18 +36,27 @@
 
 // NewNodes returns an empty Nodes.
 func NewNodes() *Nodes {
-	return &Nodes{unusable: map[nodeService]time.Time{}, sent: map[units.VMID]int{}}
+	return &Nodes{unusable: map[nodeService]time.Time{}, good: map[nodeService]time.Time{}, sent: map[units.VMID]int{}}
 }
 
 // Choose returns the least loaded of a few of the nodes at random, without those that could
-// not take a request of the service lately. load is the work that a node reports.
-func (ns *Nodes) Choose(now time.Time, service units.TargetID, nodes []units.VMID, load func(units.VMID) int) (best units.VMID, ok bool) {
-	var list []units.VMID
+// not take a request of the service lately. load is the work that a node reports. Once a node has
+// failed the request, retry is set: then nodes are preferred that took requests lately, since
+// most may be cut off too.
+func (ns *Nodes) Choose(now time.Time, service units.TargetID, nodes []units.VMID, retry bool, load func(units.VMID) int) (best units.VMID, ok bool) {
+	var list, good []units.VMID
 	for _, id := range nodes {
-		at, known := ns.unusable[nodeService{id, service}]
-		if !known || now.Sub(at) > unusableTime {
-			list = append(list, id)
+		key := nodeService{id, service}
+		if now.Before(ns.unusable[key]) {
+			continue
 		}
+		list = append(list, id)
+		if at, known := ns.good[key]; known && now.Sub(at) < goodTime {
+			good = append(good, id)
+		}
+	}
+	if retry && len(good) > 0 {
+		list = good
 	}
 	least := 0
 	for num := 0; num < samples && len(list) > 0; num++ {
@@ -55,6 +71,48 @@
 	return best, ok
 }
 
+// Hints returns a few nodes that took requests of a service lately.
+func (ns *Nodes) Hints(now time.Time, service units.TargetID) (out []units.VMID) {
+	for key, at := range ns.good {
+		if key.service == service && now.Sub(at) < goodTime && len(out) < maxHints {
+			out = append(out, key.node)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Took records that a node took a request of a service, or was named as one that does.
+func (ns *Nodes) Took(now time.Time, id units.VMID, service units.TargetID) {
+	prune(ns.good, func(at time.Time) bool { return now.Sub(at) >= goodTime })
+	ns.good[nodeService{id, service}] = now
+}
+
+// Declined records that a node could not take a request of a service.
+func (ns *Nodes) Declined(now time.Time, id units.VMID, service units.TargetID) {
+	ns.passOver(now, id, service, declinedTime)
+}
+
+// Silent records that a node didn't answer.
+func (ns *Nodes) Silent(now time.Time, id units.VMID, service units.TargetID) {
+	ns.passOver(now, id, service, silentTime)
+}
+
+func (ns *Nodes) passOver(now time.Time, id units.VMID, service units.TargetID, du time.Duration) {
+	prune(ns.unusable, now.After)
+	key := nodeService{id, service}
+	ns.unusable[key] = now.Add(du)
+	delete(ns.good, key)
+}
+
+func prune(list map[nodeService]time.Time, isOld func(time.Time) bool) {
+	for key, at := range list {
+		if isOld(at) {
+			delete(list, key)
+		}
+	}
+}
+
 // Began records that a request goes through a node.
 func (ns *Nodes) Began(id units.VMID) { ns.sent[id]++ }
 
@@ -64,13 +122,3 @@
 		delete(ns.sent, id)
 	}
 }
-
-// Unusable records that a node could not take a request of a service.
-func (ns *Nodes) Unusable(now time.Time, id units.VMID, service units.TargetID) {
-	for key, at := range ns.unusable {
-		if now.Sub(at) > unusableTime {
-			delete(ns.unusable, key)
-		}
-	}
-	ns.unusable[nodeService{id, service}] = now
-}
