relay: a retry waits until it is known whether the path is cut

A retry now waits, 450 ms at most, while a cut is being confirmed; one that was not sent meanwhile takes nothing from the budget. Attempts without a first byte on connections that hang are given up once the path is found cut. An attempt of which no byte was sent is not_run at the deadline too. TestEndsOfDetours and TestNoSecondHop judge the ends of requests through other nodes.

--- a/internal/edge/relay/detour.go
+++ b/internal/edge/relay/detour.go
@@ -228,6 +228,40 @@
 	}
 }
 
+// maxPathWait bounds the time for which a retry waits until it is known whether the path is cut.
+const maxPathWait = 450 * time.Millisecond
+
+// awaitPath waits while it is being found out whether the path to the servers is cut. A retry
+// would most likely fail like the attempt before it.
+func (ru *run) awaitPath(ctx context.Context) {
+	const step = 10 * time.Millisecond
+	if !ru.awaitsPath() {
+		return
+	}
+	for end := time.Now().Add(maxPathWait); time.Now().Before(end) && ru.rl.doubtsPath(ru.rq.Service) && pause.For(ctx, step); {
+	}
+}
+
+// awaitsPath reports whether the request may go through another node once the path is cut.
+func (ru *run) awaitsPath() bool {
+	return ru.rl.Probe != nil && ru.rl.Detours != nil && !ru.forwarded
+}
+
+func (rl *Relay) doubtsPath(id units.TargetID) bool {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	se := rl.service(id)
+	return se.path.Doubtful(time.Now(), len(se.fleet.Open()))
+}
+
+// isSilent reports whether the path is cut and open connections don't answer either.
+func (rl *Relay) isSilent(id units.TargetID) bool {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	pa := rl.service(id).path
+	return pa.State() == detour.Cut && !pa.UsesOpenConnections()
+}
+
 // takesDetour reports whether the request goes through another node.
 func (ru *run) takesDetour() bool {
 	if ru.forwarded || ru.rl.Detours == nil {
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -162,6 +162,9 @@
 // send sends the request once, to a server or through another node. It returns false if the
 // request has ended without. runs counts the attempts that may have been executed.
 func (ru *run) send(ctx context.Context, runs int) (sent bool, err error) {
+	if ru.sends > 0 {
+		ru.awaitPath(ctx)
+	}
 	if ru.takesDetour() {
 		att, _ := ru.machine.Dispatch()
 		ru.sends++
@@ -343,9 +346,7 @@
 	if !ru.machine.CanDispatch() || runs >= ru.rq.Route.MaxAttempts || (ru.sink.Started() && ru.rq.Route.RetryPolicy != routes.Resumable) {
 		return false
 	}
-	// The budget bounds what arrives at the servers, and nothing arrived at one that leaves, is
-	// limited, or can't be reached.
-	if !fault.Is(err, KindLeaving) && !fault.Is(err, KindLimited) && !fault.Is(err, KindCut) && !ru.rl.spendRetry(ru.rq.Service) {
+	if !ru.isFree(err) && !ru.rl.spendRetry(ru.rq.Service) {
 		return false
 	}
 	ru.rl.Counts.Retries.Add(1)
@@ -358,6 +359,15 @@
 	return true
 }
 
+// isFree reports whether a retry after an error is none of those that the budget bounds: nothing
+// has arrived at the server, and the next one is not in the same trouble.
+func (ru *run) isFree(err error) bool {
+	if fault.Is(err, KindNotSent) {
+		return ru.awaitsPath() && ru.rl.doubtsPath(ru.rq.Service)
+	}
+	return isNotSent(err)
+}
+
 // settle records the end of an attempt in the request's state machine and in the server's
 // health.
 func (ru *run) settle(att units.AttemptID, pi *picked, err error) {
@@ -397,8 +407,15 @@
 	ru.firstByteTimer = nil
 	if ru.canRetry() {
 		timeout := max(minFirstByteTimeout, pi.FirstToken*firstByteTimeoutFactor)
-		ru.firstByteTimer = time.AfterFunc(timeout, func() { cancel(fault.New(op, KindFirstByteTimeout, "no answer within %s", timeout)) })
-		defer ru.firstByteTimer.Stop()
+		service := ru.rq.Service
+		tm := time.AfterFunc(timeout, func() { cancel(fault.New(op, KindFirstByteTimeout, "no answer within %s", timeout)) })
+		ru.firstByteTimer = tm
+		defer tm.Stop()
+		defer context.AfterFunc(pi.dial, func() {
+			if ru.rl.isSilent(service) && tm.Stop() {
+				cancel(fault.New(op, KindFirstByteTimeout, "the path to server %s is cut", pi.Server.ID))
+			}
+		})()
 	}
 	ru.rl.Counts.Sent.Add(1)
 	ru.unsent, ru.beganAt = 0, time.Time{}
@@ -447,7 +464,7 @@
 	if err == nil || fault.Is(err, KindErrored) {
 		return err
 	}
-	if isNotSent(err) && callerCtx.Err() == nil {
+	if isNotSent(err) && !errors.Is(callerCtx.Err(), context.Canceled) {
 		return err
 	}
 	switch {
--- a/internal/rule/detour/detour.go
+++ b/internal/rule/detour/detour.go
@@ -134,6 +134,12 @@
 	return len(pa.failed) >= need || waiting >= need || pa.doubtedAt.Equal(now)
 }
 
+// Doubtful reports whether it is being found out, or is about to be, whether the path is cut.
+// servers is the number of servers of the service.
+func (pa *Path) Doubtful(now time.Time, servers int) bool {
+	return pa.state == Suspected || pa.state == Open && pa.suspicious(now, servers, 0)
+}
+
 // Doubt raises a suspicion since the path to the servers of another service is cut, which may
 // have the same cause.
 func (pa *Path) Doubt(now time.Time) {
