--- a/internal/rule/crash/verdict_test.go
+++ b/internal/rule/crash/verdict_test.go
@@ -292,3 +292,22 @@
 	fmt.Println(blocked, bl.Key, bl.RetryAfter)
 	// Output: true 3 28s
 }
+
+// TestPartOfSeveralGuiltyOnes guards against a part that is blocked since most crashes are under it,
+// although each of them is under a guilty part too.
+func TestPartOfSeveralGuiltyOnes(t *testing.T) {
+	const common, first, last = 50, 51, 53
+	lo := newLog(1)
+	for id := place.BlockID(first); id <= last; id++ {
+		lo.crashes(4, 300*ms, prompt(common, id)).crashes(4, 300*ms, prompt(id+50, id))
+	}
+	lo.after(1500 * ms)
+	for id := place.BlockID(first); id <= last; id++ {
+		if !lo.blocks(id) {
+			t.Errorf("part %d is not blocked, under which eight servers crashed", id)
+		}
+	}
+	if lo.blocks(common) {
+		t.Error("the part is blocked that is in half of the requests that crash servers")
+	}
+}
