entry: a node that starts knows of software versions that have left

Each node took the versions in the list of servers for all that there had been.

The holder of the duties now keeps the versions of the last ten minutes in its record, and a node that starts takes no stream up at the only version in the list until it has read it. Streams that several versions may have begun are refused as not run.

--- a/internal/edge/relay/origins.go
+++ b/internal/edge/relay/origins.go
@@ -73,12 +73,35 @@
 	defer rl.mu.Unlock()
 	rl.seeVersions(now)
 	version, only := rl.versions.Only(now, rq.Service)
+	if rq.Resumes != "" && rl.awaitsVersions.Load() {
+		only = false
+	}
 	if rq.Resumes != "" && now.Sub(time.Unix(0, rl.syncedAt.Load())) > maxVersionAge {
 		only = false
 	}
 	return version, only
 }
 
+// AwaitVersions makes the relay take no stream up at the only version that it knows until
+// RestoreVersions tells it of those before its start.
+func (rl *Relay) AwaitVersions() { rl.awaitsVersions.Store(true) }
+
+// RestoreVersions merges the software versions that servers had before this node's start.
+func (rl *Relay) RestoreVersions(now time.Time, ages map[units.TargetID]origin.Ages) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rl.versions.Merge(now, ages)
+	rl.awaitsVersions.Store(false)
+}
+
+// Versions returns the software versions that servers have had lately.
+func (rl *Relay) Versions(now time.Time) map[units.TargetID]origin.Ages {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rl.seeVersions(now)
+	return rl.versions.All(now)
+}
+
 // seeVersions records the software versions of the servers in the list. The caller holds rl.mu.
 func (rl *Relay) seeVersions(now time.Time) {
 	for id, se := range rl.fleets {
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -214,6 +214,8 @@
 	draining atomic.Pointer[drainCutoffs]
 	// syncedAt is when the list of servers last matched the store, in Unix nanoseconds.
 	syncedAt atomic.Int64
+	// awaitsVersions is set until the versions before this node's start are known.
+	awaitsVersions atomic.Bool
 	// open holds the start times of the servers that get requests, for checks without a lock.
 	open atomic.Pointer[map[units.VMID]int64]
 
--- a/internal/node/entry/duty.go
+++ b/internal/node/entry/duty.go
@@ -15,6 +15,7 @@
 	"lycheepick/internal/rule/lease"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/rule/usage"
+	"lycheepick/internal/state/origin"
 )
 
 const (
@@ -54,6 +55,9 @@
 	Ledger usage.Ledger             `json:"ledger,omitempty"`
 	// Demand is the demand for each service on which the leader's orders were based.
 	Demand map[units.TargetID]units.TokensPerSecond `json:"demand,omitempty"`
+	// Versions are the software versions that servers have had lately. A node that starts takes
+	// no stream up at the only version that serves if others may have begun it.
+	Versions map[units.TargetID]origin.Ages `json:"versions,omitempty"`
 }
 
 // leaderState is the state of the lease and of the duties. Only leaderLoop uses it, apart from
@@ -141,6 +145,7 @@
 	for _, it := range list.Items {
 		no.applyLease(it)
 	}
+	no.relay.RestoreVersions(time.Now(), nil) // Those in the records have been applied.
 	ld.lease.SkipTo(bootTime(), list.End)
 	ld.loaded, ld.readAt = true, time.Now()
 	return nil
@@ -185,6 +190,7 @@
 	}
 	no.leader.lease.Read(bootTime(), it.Offset, rec.Holder)
 	no.leader.orders.restore(rec.Demand)
+	no.relay.RestoreVersions(time.Now(), rec.Versions)
 	no.leader.mu.Lock()
 	no.leader.ledger.Merge(rec.Ledger)
 	no.leader.mu.Unlock()
@@ -211,7 +217,7 @@
 // returns false if the append failed, as it does if another node has appended first.
 func (no *Node) appendLease(ctx context.Context, closing usage.Ledger) bool {
 	ld := &no.leader
-	rec := leaseRecord{Holder: lease.Holder{Node: no.settings.VM.ID, Incarnation: no.incarnation}, Era: ld.lease.Era(), Ledger: usage.Ledger{}, Demand: ld.orders.rates()}
+	rec := leaseRecord{Holder: lease.Holder{Node: no.settings.VM.ID, Incarnation: no.incarnation}, Era: ld.lease.Era(), Ledger: usage.Ledger{}, Demand: ld.orders.rates(), Versions: no.relay.Versions(time.Now())}
 	ld.mu.Lock()
 	rec.Ledger.Merge(ld.ledger)
 	ld.mu.Unlock()
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -232,6 +232,7 @@
 	wg.Go(func() { no.tick(work) })
 	wg.Go(func() { no.relay.WatchPaths(work) })
 	if no.platform.ReportsUsage || no.platform.OrdersServers {
+		no.relay.AwaitVersions()
 		wg.Go(func() { no.leaderLoop(work) })
 	}
 	<-ctx.Done()
--- a/internal/state/origin/origin.go
+++ b/internal/state/origin/origin.go
@@ -124,11 +124,16 @@
 }
 
 // Several returns the versions of the services that have had more than one, to report to peers.
-func (ve *Versions) Several(now time.Time) map[units.TargetID]Ages {
+func (ve *Versions) Several(now time.Time) map[units.TargetID]Ages { return ve.atLeast(now, 2) }
+
+// All returns the versions of all services.
+func (ve *Versions) All(now time.Time) map[units.TargetID]Ages { return ve.atLeast(now, 1) }
+
+func (ve *Versions) atLeast(now time.Time, count int) map[units.TargetID]Ages {
 	out := map[units.TargetID]Ages{}
 	for id := range ve.seen {
 		list := ve.of(now, id)
-		if len(list) < 2 {
+		if len(list) < count {
 			continue
 		}
 		out[id] = Ages{}
