entry: a leaving node ends the requests that it serves for others; offers and writes are bounded

By reading: an offer that is never finished held one of the places for requests of peers, a peer that takes nothing more blocked a writer until the kernel gave up, and a caller that left made its node take the peer for silent.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -279,6 +279,7 @@
 	no.door.Drain(ctx)
 	pause.For(ctx, balancerDelay-time.Since(began))
 	no.door.Wait(ctx)
+	no.forwards.wait(ctx)
 }
 
 // tickPeriod is the interval at which state that depends on time alone is updated.
--- a/internal/node/entry/forward.go
+++ b/internal/node/entry/forward.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"lycheepick/internal/edge/pause"
 	"lycheepick/internal/edge/relay"
 	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/rule/detour"
@@ -29,6 +30,11 @@
 	// so that this node's own callers are served as before.
 	maxForwarded      = 256
 	maxForwardedBytes = 16 << 20
+	// offerTimeout bounds the time from the start of an offer to its commit.
+	offerTimeout = 2 * time.Second
+	// forwardWaitStep is the interval at which a leaving node checks whether requests of peers are in
+	// progress.
+	forwardWaitStep = 50 * time.Millisecond
 	// unusableRetryAfter is when the caller of a request that no peer takes may come back.
 	unusableRetryAfter = 500 * time.Millisecond
 )
@@ -87,15 +93,17 @@
 
 // forwardTo sends a request through one peer. The error is of KindDeclined if the peer has not
 // taken it, and of KindForward if it may have run.
-func (fo *forwards) forwardTo(ctx context.Context, to pulse.Peer, fw *relay.Forward) (*relay.Reply, error) {
-	ctx, cancel := context.WithCancel(ctx)
+func (fo *forwards) forwardTo(callerCtx context.Context, to pulse.Peer, fw *relay.Forward) (*relay.Reply, error) {
+	ctx, cancel := context.WithCancel(callerCtx)
 	fo.began(to.Node)
 	done := sync.OnceFunc(func() {
 		cancel()
 		fo.ended(to.Node)
 	})
 	fs, declined, err := fo.offer(ctx, cancel, to, fw)
-	fo.noteOffer(to.Node, fw.Service, declined, err)
+	if callerCtx.Err() == nil { // Otherwise it was not the peer that ended it.
+		fo.noteOffer(to.Node, fw.Service, declined, err)
+	}
 	if err != nil {
 		done()
 		return nil, err
@@ -238,6 +246,8 @@
 // Forward implements pulse.Forwarder.
 func (no *Node) Forward(ctx context.Context, fs *pulse.FrameStream) {
 	defer fs.Close()
+	tm := time.AfterFunc(offerTimeout, fs.Close)
+	defer tm.Stop()
 	fw, hints, release, err := no.forwards.take(fs)
 	defer release()
 	if err != nil {
@@ -249,7 +259,7 @@
 	if fs.Send(pulse.FrameAccept, nil) != nil {
 		return
 	}
-	if fr, err := fs.Receive(); err != nil || fr.Kind != pulse.FrameCommit {
+	if fr, err := fs.Receive(); err != nil || fr.Kind != pulse.FrameCommit || !tm.Stop() {
 		return
 	}
 	sink := &forwardSink{fs: fs}
@@ -257,6 +267,12 @@
 	sink.finish(state)
 }
 
+// wait returns when no request of a peer is in progress, or when ctx ends.
+func (fo *forwards) wait(ctx context.Context) {
+	for fo.inProgress.Load() > 0 && pause.For(ctx, forwardWaitStep) {
+	}
+}
+
 // take reads an offered request, unless this node can't take it: then it returns peers that may.
 func (fo *forwards) take(fs *pulse.FrameStream) (fw *relay.Forward, hints []units.VMID, release func(), err error) {
 	const op = "entry.take"
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -179,6 +179,9 @@
 	// dialTimeout and callTimeout bound an exchange; round trips to peers take milliseconds.
 	dialTimeout = 500 * time.Millisecond
 	callTimeout = time.Second
+	// writeTimeout bounds one write to a peer that called. It is longer than a node waits for its
+	// own callers to read.
+	writeTimeout = 8 * time.Second
 	// idleTimeout is the time after which an idle connection is closed.
 	idleTimeout = 10 * time.Second
 	// maxIdleConns bounds the idle connections, so that a node of a large fleet does not
@@ -315,6 +318,17 @@
 	return st.MsgSend(handle(&rq), en)
 }
 
+// boundedConn is a connection whose writes end if the peer takes nothing for writeTimeout.
+type boundedConn struct{ net.Conn }
+
+// Write implements net.Conn.
+func (bc *boundedConn) Write(raw []byte) (int, error) {
+	if err := bc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return bc.Conn.Write(raw)
+}
+
 // Serve accepts connections of peers on ls until ctx ends, then closes ls, waits until
 // the open connections have ended, and returns nil. It counts its messages in tr.
 func Serve(ctx context.Context, ls net.Listener, ha Handler, tr *Traffic) error {
@@ -334,7 +348,7 @@
 		}
 		wg.Go(func() {
 			// The error only tells how the peer ended the connection.
-			_ = srv.ServeOne(ctx, cn)
+			_ = srv.ServeOne(ctx, &boundedConn{cn})
 			_ = cn.Close()
 		})
 	}
