detour: nodes that were slow once are asked again if there are no others

Such nodes are now asked if no other is left, two for one request at most, and passed over for three seconds.

--- a/internal/bench/crowd/cut.go
+++ b/internal/bench/crowd/cut.go
@@ -274,8 +274,8 @@
 	return no.path.State() == detour.Cut && rq.origin == nil && (rq.noOpen || !no.path.UsesOpenConnections())
 }
 
-// forward sends a request through a peer. tries counts the peers that have been asked.
-func (no *node) forward(rq *request, tries int) {
+// forward sends a request through a peer that has not been asked.
+func (no *node) forward(rq *request, asked map[units.VMID]bool) {
 	ru := no.ru
 	var ids []units.VMID
 	load := map[units.VMID]int{}
@@ -284,11 +284,12 @@
 			ids, load[id] = append(ids, id), to.running
 		}
 	}
-	id, ok := no.detours.Choose(ru.now, "", ids, tries > 0, func(id units.VMID) int { return load[id] })
-	if !ok || tries >= maxForwardTries {
+	id, ok := no.detours.Choose(ru.now, "", ids, asked, func(id units.VMID) int { return load[id] })
+	if !ok || len(asked) >= maxForwardTries {
 		no.refuseAdmitted(rq, immediateRetryDelay)
 		return
 	}
+	asked[id] = true
 	to := ru.byID[id]
 	after, takes := roundTrip, to.path.State() != detour.Cut
 	if to.isolated() || no.isolated() {
@@ -298,7 +299,7 @@
 		no.passOver(to, after == acceptTimeout)
 		ru.scheduleAfter(after, func() {
 			if !no.down() {
-				no.forward(rq, tries+1)
+				no.forward(rq, asked)
 			}
 		})
 		return
--- a/internal/bench/crowd/node.go
+++ b/internal/bench/crowd/node.go
@@ -329,7 +329,7 @@
 		return
 	}
 	if no.takesDetour(rq) {
-		no.forward(rq, 0)
+		no.forward(rq, map[units.VMID]bool{})
 		return
 	}
 	ch, found := no.choose(rq)
--- a/internal/node/entry/forward.go
+++ b/internal/node/entry/forward.go
@@ -55,7 +55,7 @@
 }
 
 // choose returns a peer that may take a request of a service.
-func (fo *forwards) choose(service units.TargetID, retry bool) (pulse.Peer, bool) {
+func (fo *forwards) choose(service units.TargetID, asked map[units.VMID]bool) (pulse.Peer, bool) {
 	no := fo.no
 	no.mu.Lock()
 	var ids []units.VMID
@@ -69,18 +69,20 @@
 	no.mu.Unlock()
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	id, ok := fo.nodes.Choose(time.Now(), service, ids, retry, func(id units.VMID) int { return load[id] })
+	id, ok := fo.nodes.Choose(time.Now(), service, ids, asked, func(id units.VMID) int { return load[id] })
 	return pulse.Peer{Node: id, Address: addrs[id]}, ok
 }
 
 // Forward implements relay.Detours.
 func (fo *forwards) Forward(ctx context.Context, fw *relay.Forward) (*relay.Reply, error) {
 	const op = "entry.Forward"
-	for num := range maxForwardTries {
-		to, ok := fo.choose(fw.Service, num > 0)
+	asked := map[units.VMID]bool{}
+	for range maxForwardTries {
+		to, ok := fo.choose(fw.Service, asked)
 		if !ok || ctx.Err() != nil {
 			break
 		}
+		asked[to.Node] = true
 		rp, err := fo.forwardTo(ctx, to, fw)
 		if err == nil || fault.Is(err, KindForward) {
 			return rp, relayError(op, relay.KindBroken, err)
--- a/internal/rule/detour/detour_test.go
+++ b/internal/rule/detour/detour_test.go
@@ -155,12 +155,18 @@
 	load := func(units.VMID) int { return 0 }
 	ns.Declined(now, "a", "app")
 	ns.Took(now, "c", "app")
-	fmt.Println(ns.Choose(now, "app", []units.VMID{"a"}, false, load))
-	fmt.Println(ns.Choose(now, "app", []units.VMID{"a", "b", "c", "d"}, true, load))
+	fmt.Println(ns.Choose(now, "app", []units.VMID{"a", "b"}, nil, load))
+	asked := map[units.VMID]bool{"b": true}
+	fmt.Println(ns.Choose(now, "app", []units.VMID{"a", "b", "c", "d"}, asked, load))
+	fmt.Println(ns.Choose(now, "app", []units.VMID{"a"}, asked, load))
+	asked["a"] = true
+	fmt.Println(ns.Choose(now, "app", []units.VMID{"a", "b"}, asked, load))
 	fmt.Println(ns.Hints(now, "app"))
 	// Output:
-	//  false
+	// b true
 	// c true
+	// a true
+	//  false
 	// [c]
 }
 
@@ -170,7 +176,7 @@
 	nodes := []units.VMID{"a", "b", "c", "d"}
 	counts := map[units.VMID]int{}
 	for range 400 {
-		id, _ := ns.Choose(now, "app", nodes, false, func(id units.VMID) int {
+		id, _ := ns.Choose(now, "app", nodes, nil, func(id units.VMID) int {
 			if id == "a" {
 				return 1000
 			}
--- a/internal/rule/detour/pick.go
+++ b/internal/rule/detour/pick.go
@@ -12,10 +12,12 @@
 	// declinedTime is how long a node is passed over that declined a request, silentTime how long
 	// one is that didn't answer, and goodTime how long one that took a request counts as good.
 	declinedTime = time.Second
-	silentTime   = 5 * time.Second
+	silentTime   = 3 * time.Second
 	goodTime     = 3 * time.Second
 	// samples is the number of nodes of which the least loaded one is chosen.
 	samples = 3
+	// maxPassedOver is the number of nodes asked up to which one is that is passed over.
+	maxPassedOver = 2
 	// maxHints bounds the good nodes that are named to a node whose request is declined.
 	maxHints = 3
 )
@@ -39,24 +41,31 @@
 	return &Nodes{unusable: map[nodeService]time.Time{}, good: map[nodeService]time.Time{}, sent: map[units.VMID]int{}}
 }
 
-// Choose returns the least loaded of a few of the nodes at random, without those that could
-// not take a request of the service lately. load is the work that a node reports. Once a node has
-// failed the request, retry is set: then nodes are preferred that took requests lately, since
-// most may be cut off too.
-func (ns *Nodes) Choose(now time.Time, service units.TargetID, nodes []units.VMID, retry bool, load func(units.VMID) int) (best units.VMID, ok bool) {
-	var list, good []units.VMID
+// Choose returns the least loaded of a few of the nodes at random. load is the work that a node
+// reports, and asked holds the nodes that have been asked to take the request. Once one has, nodes
+// are preferred that took requests lately, since most may be cut off too. Those that could not
+// take a request lately are only chosen if there are no others.
+func (ns *Nodes) Choose(now time.Time, service units.TargetID, nodes []units.VMID, asked map[units.VMID]bool, load func(units.VMID) int) (best units.VMID, ok bool) {
+	var usable, good, passedOver []units.VMID
 	for _, id := range nodes {
 		key := nodeService{id, service}
-		if now.Before(ns.unusable[key]) {
-			continue
-		}
-		list = append(list, id)
-		if at, known := ns.good[key]; known && now.Sub(at) < goodTime {
+		at, known := ns.good[key]
+		switch {
+		case asked[id]:
+		case now.Before(ns.unusable[key]):
+			passedOver = append(passedOver, id)
+		case len(asked) > 0 && known && now.Sub(at) < goodTime:
 			good = append(good, id)
+		default:
+			usable = append(usable, id)
 		}
 	}
-	if retry && len(good) > 0 {
-		list = good
+	list := good
+	if len(list) == 0 {
+		list = usable
+	}
+	if len(list) == 0 && len(asked) < maxPassedOver {
+		list = passedOver
 	}
 	least := 0
 	for num := 0; num < samples && len(list) > 0; num++ {
