--- a/internal/bench/crowd/cut.go
+++ b/internal/bench/crowd/cut.go
@@ -51,6 +51,8 @@
 	// that are asked.
 	acceptTimeout   = 250 * time.Millisecond
 	maxForwardTries = 8
+	// ejectionChecks is the number of checks between two counts of ejections, which last two seconds.
+	ejectionChecks = 10
 	// returnTime is the time after a cut from which requests go straight again.
 	returnTime = time.Second
 )
@@ -218,7 +220,9 @@
 	if no.down() {
 		return
 	}
-	no.countEjections()
+	if no.checks++; no.checks%ejectionChecks == 0 {
+		no.countEjections()
+	}
 	for _, id := range no.path.Next(ru.now, no.fleet.Open(), func(du time.Duration) int { return no.fleet.Waiting(ru.now, du) }) {
 		accepts, after := ru.engineOf(id).isServing(id), roundTrip
 		if cu, isCut := no.cutNow(); isCut {
--- a/internal/bench/crowd/node.go
+++ b/internal/bench/crowd/node.go
@@ -67,6 +67,7 @@
 	detours *detour.Nodes
 	isCut   bool
 	found   int
+	checks  int
 	dialing map[*request]int
 	cuts    []Cut
 	// unreached holds the peers that have reported that they reach no server, lost those that
