--- /dev/null
+++ b/internal/edge/relay/dispatch.go
@@ -0,0 +1,75 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepick/internal/rule/detour"
+	"lycheepick/internal/rule/permit"
+	"lycheepick/internal/rule/place"
+	"lycheepick/internal/rule/retry"
+	"lycheepick/internal/rule/units"
+	"lycheepick/internal/state/server"
+)
+
+// picked is a selected server and the dispatch recorded for it.
+type picked struct {
+	place.Choice
+	ticket place.Ticket
+	// listAge is the time since the server list last changed, serversAge the time since it
+	// last matched the store, sent the time of dispatch.
+	listAge, serversAge time.Duration
+	sent                time.Time
+	// limited is set if the server named a limit when it was chosen, so that the dispatch took
+	// a permit.
+	limited bool
+	// detour is set if another node chose the server and sent the request there.
+	detour bool
+	// dial ends when the path to the servers is found to be cut, openOnly is set if it is cut and
+	// open connections still work.
+	dial     context.Context
+	openOnly bool
+}
+
+// choose selects a server and records the dispatch, with a permit if the server names a limit.
+// send decides from the choice whether to dispatch at all.
+func (rl *Relay) choose(now time.Time, id units.TargetID, ask *place.Request, send func(*place.Choice) bool) (pi picked, found, sent bool) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	se := rl.service(id)
+	pi.listAge = now.Sub(se.listReadAt)
+	pi.serversAge = now.Sub(time.Unix(0, rl.syncedAt.Load()))
+	ask.Gate = func(sv *server.Server) permit.Gate { return rl.permits.Gate(now, permitServer(sv)) }
+	pi.Choice, found = se.fleet.Choose(now, ask)
+	if !found || !send(&pi.Choice) {
+		return pi, found, false
+	}
+	pi.limited = rl.permits.Limit(permitServer(&pi.Server)).Named
+	rl.permits.Use(now, permitServer(&pi.Server))
+	pi.ticket, pi.sent = se.fleet.Dispatch(now, ask, &pi.Choice), now
+	pi.dial, pi.openOnly = se.dial, se.path.State() == detour.Cut
+	return pi, true, true
+}
+
+func (rl *Relay) recordFirstByte(id units.TargetID, pi *picked) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	now := time.Now()
+	rl.service(id).fleet.FirstToken(now, pi.Server.ID, pi.ticket)
+	rl.crashes.Heard(pi.sent, permitServer(&pi.Server))
+}
+
+func (rl *Relay) recordEnd(id units.TargetID, pi *picked, res place.Result) {
+	rl.mu.Lock()
+	se := rl.service(id)
+	if res == place.Incomplete && se.blamesPath(pi.sent) {
+		res = place.Canceled
+	}
+	change := se.fleet.End(time.Now(), pi.Server.ID, pi.ticket, res)
+	rl.mu.Unlock()
+	if change == retry.Ejected {
+		rl.Log.Info("server_ejected", zap.String("server", string(pi.Server.ID)), zap.String("service", string(id)))
+	}
+}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -15,7 +15,6 @@
 	"go.uber.org/zap"
 
 	"lycheepick/internal/rule/crash"
-	"lycheepick/internal/rule/detour"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/place"
@@ -343,61 +342,6 @@
 	rl.maxWaits = map[string]time.Duration{} // Routes and their timeouts may have changed.
 }
 
-// LoadReport is the state that nodes exchange: their own load at the backend servers, and
-// admitted amounts by customer. PeerTotals relays what this node knows of other nodes for
-// customers close to their limits.
-type LoadReport struct {
-	Loads        map[units.VMID]place.Load
-	SentPrefixes map[units.VMID][]place.BlockID
-	Admitted     pool.Totals
-	PeerTotals   map[units.CustomerID][]pool.RelayedUsage
-	// ServerLimits are limits that servers have named.
-	ServerLimits []permit.Observation
-	// Versions are the software versions of services whose servers have had several.
-	Versions map[units.TargetID]origin.Ages
-}
-
-// ApplyPeerReport merges a peer's report into the local state. inc is the peer's
-// incarnation.
-func (rl *Relay) ApplyPeerReport(now time.Time, node units.VMID, inc int64, rep LoadReport) {
-	rl.mu.Lock()
-	for _, se := range rl.fleets {
-		se.fleet.SetPeerLoads(now, rl.pool.Peers(), node, rep.Loads)
-		se.fleet.AddPeerBlocks(now, rep.SentPrefixes)
-	}
-	rl.pool.MergeReport(now, node, inc, rep.Admitted)
-	rl.pool.MergeRelayed(now, rep.PeerTotals)
-	rl.versions.Merge(now, rep.Versions)
-	changes := rl.permits.Merge(now, rep.ServerLimits)
-	rl.mu.Unlock()
-	for _, ob := range changes {
-		rl.logServerLimit(ob.ID, ob.Limit, "peer "+string(node))
-	}
-}
-
-// ExpectPeer registers a peer before its first report arrives.
-func (rl *Relay) ExpectPeer(now time.Time, node units.VMID) {
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	rl.pool.AddPeer(now, node)
-}
-
-// LocalReport returns this node's report for its peers.
-func (rl *Relay) LocalReport(now time.Time) LoadReport {
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	rep := LoadReport{Loads: map[units.VMID]place.Load{}, SentPrefixes: map[units.VMID][]place.BlockID{}}
-	for _, se := range rl.fleets {
-		se.fleet.OwnLoads(rep.Loads)
-		se.fleet.RecentBlocks(now, rep.SentPrefixes)
-	}
-	rep.Admitted, rep.PeerTotals = rl.pool.Admitted(), rl.pool.Relay(now)
-	rep.ServerLimits = rl.permits.Observations(now)
-	rl.seeVersions(now)
-	rep.Versions = rl.versions.Several(now)
-	return rep
-}
-
 // Servers returns the servers of a service with their load from all nodes.
 func (rl *Relay) Servers(now time.Time, id units.TargetID) []place.ServerLoad {
 	rl.mu.Lock()
@@ -462,63 +406,3 @@
 	defer rl.mu.Unlock()
 	return rl.service(id).budget.Spend()
 }
-
-// picked is a selected server and the dispatch recorded for it.
-type picked struct {
-	place.Choice
-	ticket place.Ticket
-	// listAge is the time since the server list last changed, serversAge the time since it
-	// last matched the store, sent the time of dispatch.
-	listAge, serversAge time.Duration
-	sent                time.Time
-	// limited is set if the server named a limit when it was chosen, so that the dispatch took
-	// a permit.
-	limited bool
-	// detour is set if another node chose the server and sent the request there.
-	detour bool
-	// dial ends when the path to the servers is found to be cut, openOnly is set if it is cut and
-	// open connections still work.
-	dial     context.Context
-	openOnly bool
-}
-
-// choose selects a server and records the dispatch, with a permit if the server names a limit.
-// send decides from the choice whether to dispatch at all.
-func (rl *Relay) choose(now time.Time, id units.TargetID, ask *place.Request, send func(*place.Choice) bool) (pi picked, found, sent bool) {
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	se := rl.service(id)
-	pi.listAge = now.Sub(se.listReadAt)
-	pi.serversAge = now.Sub(time.Unix(0, rl.syncedAt.Load()))
-	ask.Gate = func(sv *server.Server) permit.Gate { return rl.permits.Gate(now, permitServer(sv)) }
-	pi.Choice, found = se.fleet.Choose(now, ask)
-	if !found || !send(&pi.Choice) {
-		return pi, found, false
-	}
-	pi.limited = rl.permits.Limit(permitServer(&pi.Server)).Named
-	rl.permits.Use(now, permitServer(&pi.Server))
-	pi.ticket, pi.sent = se.fleet.Dispatch(now, ask, &pi.Choice), now
-	pi.dial, pi.openOnly = se.dial, se.path.State() == detour.Cut
-	return pi, true, true
-}
-
-func (rl *Relay) recordFirstByte(id units.TargetID, pi *picked) {
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	now := time.Now()
-	rl.service(id).fleet.FirstToken(now, pi.Server.ID, pi.ticket)
-	rl.crashes.Heard(pi.sent, permitServer(&pi.Server))
-}
-
-func (rl *Relay) recordEnd(id units.TargetID, pi *picked, res place.Result) {
-	rl.mu.Lock()
-	se := rl.service(id)
-	if res == place.Incomplete && se.blamesPath(pi.sent) {
-		res = place.Canceled
-	}
-	change := se.fleet.End(time.Now(), pi.Server.ID, pi.ticket, res)
-	rl.mu.Unlock()
-	if change == retry.Ejected {
-		rl.Log.Info("server_ejected", zap.String("server", string(pi.Server.ID)), zap.String("service", string(id)))
-	}
-}
--- /dev/null
+++ b/internal/edge/relay/report.go
@@ -0,0 +1,66 @@
+package relay
+
+import (
+	"time"
+
+	"lycheepick/internal/rule/permit"
+	"lycheepick/internal/rule/place"
+	"lycheepick/internal/rule/pool"
+	"lycheepick/internal/rule/units"
+	"lycheepick/internal/state/origin"
+)
+
+// LoadReport is the state that nodes exchange: their own load at the backend servers, and
+// admitted amounts by customer. PeerTotals relays what this node knows of other nodes for
+// customers close to their limits.
+type LoadReport struct {
+	Loads        map[units.VMID]place.Load
+	SentPrefixes map[units.VMID][]place.BlockID
+	Admitted     pool.Totals
+	PeerTotals   map[units.CustomerID][]pool.RelayedUsage
+	// ServerLimits are limits that servers have named.
+	ServerLimits []permit.Observation
+	// Versions are the software versions of services whose servers have had several.
+	Versions map[units.TargetID]origin.Ages
+}
+
+// ApplyPeerReport merges a peer's report into the local state. inc is the peer's
+// incarnation.
+func (rl *Relay) ApplyPeerReport(now time.Time, node units.VMID, inc int64, rep LoadReport) {
+	rl.mu.Lock()
+	for _, se := range rl.fleets {
+		se.fleet.SetPeerLoads(now, rl.pool.Peers(), node, rep.Loads)
+		se.fleet.AddPeerBlocks(now, rep.SentPrefixes)
+	}
+	rl.pool.MergeReport(now, node, inc, rep.Admitted)
+	rl.pool.MergeRelayed(now, rep.PeerTotals)
+	rl.versions.Merge(now, rep.Versions)
+	changes := rl.permits.Merge(now, rep.ServerLimits)
+	rl.mu.Unlock()
+	for _, ob := range changes {
+		rl.logServerLimit(ob.ID, ob.Limit, "peer "+string(node))
+	}
+}
+
+// ExpectPeer registers a peer before its first report arrives.
+func (rl *Relay) ExpectPeer(now time.Time, node units.VMID) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rl.pool.AddPeer(now, node)
+}
+
+// LocalReport returns this node's report for its peers.
+func (rl *Relay) LocalReport(now time.Time) LoadReport {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rep := LoadReport{Loads: map[units.VMID]place.Load{}, SentPrefixes: map[units.VMID][]place.BlockID{}}
+	for _, se := range rl.fleets {
+		se.fleet.OwnLoads(rep.Loads)
+		se.fleet.RecentBlocks(now, rep.SentPrefixes)
+	}
+	rep.Admitted, rep.PeerTotals = rl.pool.Admitted(), rl.pool.Relay(now)
+	rep.ServerLimits = rl.permits.Observations(now)
+	rl.seeVersions(now)
+	rep.Versions = rl.versions.Several(now)
+	return rep
+}
