--- /dev/null
+++ b/internal/node/entry/reachnet_test.go
@@ -0,0 +1,405 @@
+package entry
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"lycheepick/internal/edge/door"
+	"lycheepick/internal/edge/pause"
+	"lycheepick/internal/edge/relay"
+	"lycheepick/internal/node/config"
+	"lycheepick/internal/peer/pulse"
+	"lycheepick/internal/plat/stream"
+	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/permit"
+	"lycheepick/internal/rule/units"
+	"lycheepick/internal/state/routes"
+)
+
+const (
+	// reachCallTimeout and reachStoreTimeout are the time-outs of exchanges and of calls to the
+	// store, without the time that a read may wait, as in packages pulse and platform.
+	reachCallTimeout  = time.Second
+	reachStoreTimeout = 1500 * time.Millisecond
+	// reachLatency is one way between two nodes or to the store.
+	reachLatency = 2 * time.Millisecond
+	// reachReportBytes is the size of a report in a loaded fleet.
+	reachReportBytes = 8 << 10
+	// reachLink is the bytes per second of a node's link, 10 Mbit/s.
+	reachLink = 10e6 / 8
+)
+
+const (
+	reachOperators stream.Name = "operators"
+	reachServers   stream.Name = "servers"
+)
+
+// reachStore is a store with an operators' and a servers' stream.
+type reachStore struct {
+	mu      sync.Mutex
+	change  chan struct{}
+	streams map[stream.Name][]stream.Keyed
+	// acked is when each version of the configuration was acknowledged.
+	acked map[units.Version]time.Time
+}
+
+func (st *reachStore) put(na stream.Name, key string, value []byte) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.streams[na] = append(st.streams[na], stream.Keyed{Offset: units.Offset(len(st.streams[na])), Key: key, Value: value})
+	close(st.change)
+	st.change = make(chan struct{})
+}
+
+// putConfig writes a version of the configuration with about so many bytes once it is packed.
+func (st *reachStore) putConfig(version units.Version, size int) {
+	raw := make([]byte, 8+size)
+	_, _ = rand.NewChaCha8([32]byte{byte(version)}).Read(raw) // It doesn't get smaller by packing.
+	binary.BigEndian.PutUint64(raw, uint64(version))
+	st.put(reachOperators, "config", raw)
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.acked[version] = time.Now()
+}
+
+// reachNode is a node of a fleet that runs in memory, with its own path to the store.
+type reachNode struct {
+	id       units.VMID
+	fl       *reachFleet
+	up, down *link
+
+	mu   sync.Mutex // Guards all but configReads.
+	proc *Node
+	stop context.CancelFunc
+	dead bool
+	// since is when the node started or was last disturbed.
+	since    time.Time
+	frozenTo time.Time
+	// lostBefore drops the answers to reads of a stream that began before that time.
+	lostBefore map[stream.Name]time.Time
+	// silentTo is the end of a time in which the store doesn't answer this node.
+	silentTo time.Time
+	// appliedAt is when each version came in force.
+	appliedAt map[units.Version]time.Time
+	// configReads counts the reads of the operators' stream.
+	configReads atomic.Int64
+}
+
+// node returns the node's process.
+func (no *reachNode) node() *Node {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	return no.proc
+}
+
+func (no *reachNode) isDead() bool {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	return no.dead
+}
+
+func (no *reachNode) thawsAt() time.Time {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	return no.frozenTo
+}
+
+// isSilenced reports whether the answer to a read that began at a time never comes.
+func (no *reachNode) isSilenced(na stream.Name, began time.Time) bool {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	now, lost := time.Now(), no.lostBefore[na]
+	return now.Before(no.silentTo) || began.Before(lost) && !now.Before(lost)
+}
+
+// hold waits while the node is frozen.
+func (no *reachNode) hold(ctx context.Context) {
+	for time.Now().Before(no.thawsAt()) && pause.For(ctx, time.Until(no.thawsAt())) {
+	}
+}
+
+// Append implements stream.Store.
+func (no *reachNode) Append(context.Context, stream.Name, units.Offset, ...[]byte) (units.Offset, error) {
+	return 0, nil
+}
+
+// Newest implements stream.Store.
+func (no *reachNode) Newest(ctx context.Context, na stream.Name) (stream.Listing, error) {
+	return reachCall(ctx, no, na, 0, func(context.Context) (stream.Listing, int, error) {
+		if na == nodesStream {
+			return stream.Listing{Items: no.fl.addresses}, reachReportBytes, nil
+		}
+		no.fl.store.mu.Lock()
+		defer no.fl.store.mu.Unlock()
+		list := no.fl.store.streams[na]
+		latest := map[string]stream.Keyed{}
+		for _, it := range list {
+			latest[it.Key] = it
+		}
+		out, size := stream.Listing{End: units.Offset(len(list))}, 0
+		for _, it := range latest {
+			out.Items, size = append(out.Items, it), size+len(it.Value)
+		}
+		return out, size, nil
+	})
+}
+
+// reachPage is the most bytes of an answer to a read.
+const reachPage = 512 << 10
+
+// Read implements stream.Store.
+func (no *reachNode) Read(ctx context.Context, na stream.Name, from units.Offset, wait time.Duration) (stream.Page, error) {
+	return reachCall(ctx, no, na, wait, func(ctx context.Context) (stream.Page, int, error) {
+		st, until := no.fl.store, time.After(wait)
+		for {
+			st.mu.Lock()
+			list, change := st.streams[na], st.change
+			st.mu.Unlock()
+			out, size := stream.Page{From: from, End: units.Offset(len(list))}, 0
+			for _, it := range list[min(int(from), len(list)):] {
+				if size += len(it.Value); size > reachPage && len(out.Records) > 0 {
+					break
+				}
+				out.Records = append(out.Records, append([]byte(it.Key+" "), it.Value...))
+			}
+			if len(out.Records) > 0 || wait == 0 {
+				return out, size, nil
+			}
+			select {
+			case <-change:
+			case <-until:
+				wait = 0
+			case <-ctx.Done():
+				return stream.Page{}, 0, ctx.Err()
+			}
+		}
+	})
+}
+
+// storeExpansion is by how much a configuration is larger in the store than packed.
+const storeExpansion = 5
+
+// reachCall makes one call to the store over the node's link.
+func reachCall[A any](ctx context.Context, no *reachNode, na stream.Name, wait time.Duration, call func(context.Context) (A, int, error)) (out A, err error) {
+	const op = "entry.reachCall"
+	ctx, cancel := context.WithTimeout(ctx, reachStoreTimeout+wait)
+	defer cancel()
+	began := time.Now()
+	no.hold(ctx)
+	time.Sleep(reachLatency)
+	out, size, err := call(ctx)
+	if na == reachOperators {
+		size *= storeExpansion
+		no.configReads.Add(1)
+	}
+	if no.isSilenced(na, began) {
+		<-ctx.Done()
+		return out, fault.New(op, stream.KindUnanswered, "silent")
+	}
+	no.down.wait(size)
+	no.hold(ctx)
+	if ctx.Err() != nil {
+		return out, fault.Wrap(op, stream.KindUnanswered, ctx.Err())
+	}
+	return out, err
+}
+
+// Exchange implements peerCaller. The messages are copied as on the wire.
+func (no *reachNode) Exchange(ctx context.Context, addr string, rq *pulse.Request) (*pulse.Reply, error) {
+	const op = "entry.Exchange"
+	ctx, cancel := context.WithTimeout(ctx, reachCallTimeout)
+	defer cancel()
+	no.hold(ctx)
+	other := no.fl.byAddress[addr]
+	asked, err := reachCopy[pulse.Request](rq)
+	if err != nil {
+		return nil, err
+	}
+	no.up.wait(reachReportBytes)
+	time.Sleep(reachLatency)
+	if other.isDead() || time.Now().Before(other.thawsAt()) {
+		<-ctx.Done()
+		return nil, fault.Wrap(op, pulse.KindFailed, ctx.Err())
+	}
+	answer := other.node().Exchange(asked)
+	out, err := reachCopy[pulse.Reply](answer)
+	size := reachReportBytes + (len(out.PackedConfig)+len(out.RawConfig))*4/3
+	other.up.wait(size)
+	no.down.wait(size)
+	no.hold(ctx)
+	if ctx.Err() != nil {
+		return nil, fault.Wrap(op, pulse.KindFailed, ctx.Err())
+	}
+	return out, err
+}
+
+// AskPermits implements peerCaller.
+func (no *reachNode) AskPermits(context.Context, string, *permit.Request) (*pulse.PermitReply, error) {
+	return &pulse.PermitReply{}, nil
+}
+
+// Origins implements peerCaller.
+func (no *reachNode) Origins(context.Context, string, *pulse.OriginsRequest) (*pulse.OriginsReply, error) {
+	return &pulse.OriginsReply{}, nil
+}
+
+// Forward implements peerCaller.
+func (no *reachNode) Forward(context.Context, string) (*pulse.FrameStream, error) {
+	return nil, fault.New("entry.Forward", pulse.KindUnreachable, "the model forwards no requests")
+}
+
+// Close implements peerCaller.
+func (no *reachNode) Close() {}
+
+func reachCopy[M any](msg any) (*M, error) {
+	raw, err := json.Marshal(msg)
+	if err != nil {
+		return nil, err
+	}
+	out := new(M)
+	return out, json.Unmarshal(raw, out)
+}
+
+// reachFleet is a fleet of nodes whose loops run as in a process, on a network in memory.
+type reachFleet struct {
+	store     *reachStore
+	nodes     []*reachNode
+	byAddress map[string]*reachNode
+	addresses []stream.Keyed
+	rnd       *rand.Rand
+	decode    time.Duration
+	wg        conc.WaitGroup
+}
+
+func newReachFleet(ctx context.Context, count int, seed uint64) *reachFleet {
+	fl := &reachFleet{
+		store:     &reachStore{change: make(chan struct{}), streams: map[stream.Name][]stream.Keyed{}, acked: map[units.Version]time.Time{}},
+		byAddress: map[string]*reachNode{}, rnd: rand.New(rand.NewPCG(seed, 0)), decode: 60 * time.Millisecond,
+	}
+	fl.store.putConfig(1, 1<<10)
+	for num := range count {
+		id := fmt.Sprintf("node-%d", num)
+		own, _ := json.Marshal(pulse.Peer{Node: units.VMID(id), Address: id})
+		fl.addresses = append(fl.addresses, stream.Keyed{Key: id, Value: own})
+	}
+	for num := range count {
+		no := &reachNode{id: units.VMID(fmt.Sprintf("node-%d", num)), fl: fl, up: &link{bytesPerSecond: reachLink}, down: &link{bytesPerSecond: reachLink}}
+		fl.nodes = append(fl.nodes, no)
+		fl.byAddress[fmt.Sprintf("node-%d", num)] = no
+	}
+	for num := range count {
+		fl.start(ctx, num)
+	}
+	fl.wg.Go(func() { // Servers renew their records.
+		for num := 0; pause.For(ctx, 50*time.Millisecond); num++ {
+			fl.store.put(reachServers, fmt.Sprintf("s-%d", num%20), []byte(fmt.Sprintf("1 %d ready", num)))
+		}
+	})
+	return fl
+}
+
+// start gives a node a new process.
+func (fl *reachFleet) start(ctx context.Context, num int) {
+	no := fl.nodes[num]
+	nd := New(&config.EntrySettings{
+		VM: config.EntryVM{ID: no.id, Zone: "z1"}, Listen: config.EntryListen{Peers: string(no.id)},
+		Timing: config.EntryTiming{GraceS: 8, LeaseMS: 1000, UsageWindowS: 1, UsageLateS: 10},
+	}, Platform{
+		Store: no, OperatorStream: reachOperators, ConfigKey: "config", ServerStream: reachServers,
+		DecodeRecord: splitRecord, EncodeRecord: func(string, []byte) []byte { return nil },
+		DecodeServer: decodeStatus, DecodeConfig: no.decodeConfig,
+		Handler: func(func() *routes.Config, *relay.Relay) (door.Handler, ForwardHandler) { return nil, nil },
+	}, zap.NewNop())
+	nd.peerClient = no
+	ctx, stop := context.WithCancel(ctx)
+	no.mu.Lock()
+	no.lostBefore, no.appliedAt, no.since, no.dead = map[stream.Name]time.Time{}, map[units.Version]time.Time{}, time.Now(), false
+	no.proc, no.stop = nd, stop
+	no.mu.Unlock()
+	for _, loop := range []func(context.Context){nd.followConfig, nd.followServers, nd.exchangeLoop, nd.fetchConfigs, nd.tick} {
+		delay := time.Duration(fl.rnd.IntN(300)) * time.Millisecond
+		fl.wg.Go(func() {
+			pause.For(ctx, delay)
+			loop(ctx)
+		})
+	}
+}
+
+// decodeConfig decodes a configuration, which takes as long as on a small share of a processor.
+func (no *reachNode) decodeConfig(raw []byte) (*routes.Config, error) {
+	if len(raw) > 4<<10 {
+		time.Sleep(no.fl.decode)
+	}
+	return &routes.Config{Version: units.Version(binary.BigEndian.Uint64(raw))}, nil
+}
+
+// watchVersions records when versions come in force until ctx ends.
+func (fl *reachFleet) watchVersions(ctx context.Context) {
+	for pause.For(ctx, 10*time.Millisecond) {
+		for _, no := range fl.nodes {
+			have := no.node().config.Load().version()
+			no.mu.Lock()
+			for ver := have; ver > 0 && no.appliedAt[ver].IsZero(); ver-- {
+				no.appliedAt[ver] = time.Now()
+			}
+			no.mu.Unlock()
+		}
+	}
+}
+
+// each calls do for the readers if they are wanted, and for a share of the others.
+func (fl *reachFleet) each(readers bool, share float64, do func(*reachNode)) {
+	for _, no := range fl.nodes {
+		nd := no.node()
+		nd.mu.Lock()
+		isReader := nd.watch.IsReader()
+		nd.mu.Unlock()
+		if isReader && readers || !isReader && fl.rnd.Float64() < share {
+			do(no)
+		}
+	}
+}
+
+// disturb changes a node's state. It is in touch again some time after until.
+func (no *reachNode) disturb(until time.Time, change func()) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	no.since = until
+	change()
+}
+
+func freeze(du time.Duration) func(*reachNode) {
+	return func(no *reachNode) {
+		until := time.Now().Add(du)
+		no.disturb(until, func() { no.frozenTo = until })
+	}
+}
+
+func kill(no *reachNode) {
+	no.disturb(time.Now().Add(time.Hour), func() {
+		no.dead = true
+		no.stop()
+	})
+}
+
+// loseAnswers makes the answers to reads of a stream that wait now get lost on their connections.
+func loseAnswers(na stream.Name) func(*reachNode) {
+	return func(no *reachNode) { no.disturb(time.Now(), func() { no.lostBefore[na] = time.Now() }) }
+}
+
+// silence makes the store silent for a node.
+func silence(du time.Duration) func(*reachNode) {
+	return func(no *reachNode) {
+		until := time.Now().Add(du)
+		no.disturb(until, func() { no.silentTo = until })
+	}
+}
