--- a/internal/bench/crowd/crash.go
+++ b/internal/bench/crowd/crash.go
@@ -7,7 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lycheepick/internal/rule/crash"
-	"lycheepick/internal/rule/permit"
+	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/units"
 )
@@ -419,7 +419,7 @@
 	if rq.engine.leaving || (!rq.beganAt.IsZero() && now.Sub(rq.beganAt) > crash.MaxWriting) {
 		return
 	}
-	sv := permit.Server{ID: rq.engine.id, StartUnixMS: rq.engine.incarnation}
+	sv := notice.Server{ID: rq.engine.id, StartUnixMS: rq.engine.incarnation}
 	rq.node.crashes.Lost(now, sv, rq.loss())
 }
 
--- a/internal/bench/crowd/crowd.go
+++ b/internal/bench/crowd/crowd.go
@@ -41,6 +41,8 @@
 	Streams Streams
 	// Crashes makes servers crash.
 	Crashes Crashes
+	// Departures are servers that say in their answers that they leave.
+	Departures []Departure
 	// Cuts are times in which nodes reach no server.
 	Cuts []Cut
 }
@@ -119,6 +121,8 @@
 	Crashes CrashResult
 	// Cuts summarises the first tries beside cuts.
 	Cuts CutResult
+	// Leaving summarises the requests at servers that had said that they leave.
+	Leaving LeaveResult
 	// Seconds holds the counts by the second of arrival.
 	Seconds []Counts
 }
@@ -219,6 +223,7 @@
 	}
 	ru.scheduleCrashes()
 	ru.scheduleCuts()
+	ru.scheduleDepartures()
 	ru.scheduleAt(0, ru.arrive)
 	for len(ru.events) > 0 {
 		ev := heap.Pop(&ru.events).(event)
--- a/internal/bench/crowd/cut.go
+++ b/internal/bench/crowd/cut.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"lycheepick/internal/rule/detour"
-	"lycheepick/internal/rule/permit"
+	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/units"
 )
@@ -138,7 +138,7 @@
 // pathLost ends an attempt whose connection was reset.
 func (rq *request) pathLost() {
 	no := rq.node
-	no.crashes.Lost(no.ru.now, permit.Server{ID: rq.engine.id, StartUnixMS: rq.engine.incarnation}, rq.loss())
+	no.crashes.Lost(no.ru.now, notice.Server{ID: rq.engine.id, StartUnixMS: rq.engine.incarnation}, rq.loss())
 	no.path.Failed(no.ru.now, rq.engine.id)
 	rq.serverGone()
 }
--- a/internal/bench/crowd/engine.go
+++ b/internal/bench/crowd/engine.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"lycheepick/internal/rule/permit"
+	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/units"
 )
@@ -32,6 +32,8 @@
 	// period is the current one of periods, nil while the server names no limit.
 	period  *namedPeriod
 	periods []*namedPeriod
+	// departs is set while the server says that it leaves.
+	departs *departure
 }
 
 // cachedBlock is a prefix block in the cache; lastUse is the useCount of its last use.
@@ -53,7 +55,7 @@
 func (en *engine) restart() {
 	en.incarnation++
 	en.id = units.VMID(fmt.Sprintf("server-%d-%d", en.num, en.incarnation))
-	en.leaving, en.dead = false, false
+	en.leaving, en.dead, en.departs = false, false, nil
 	en.running, en.cache = map[*request]struct{}{}, map[place.BlockID]cachedBlock{}
 	en.cacheUsed = 0
 }
@@ -112,6 +114,9 @@
 func (en *engine) start(rq *request) {
 	ru := rq.ru
 	en.recordArrival(ru.now, rq.node)
+	if en.departs != nil {
+		en.departs.arrive(rq)
+	}
 	rq.reach()
 	rq.runs++
 	ru.result.Cuts.MostRuns = max(ru.result.Cuts.MostRuns, rq.runs)
@@ -155,11 +160,12 @@
 	}
 	rq.countBegun()
 	rq.beganAt = rq.ru.now
-	rq.node.crashes.Heard(rq.sentAt, permit.Server{ID: rq.engine.id, StartUnixMS: rq.engine.incarnation})
+	rq.node.crashes.Heard(rq.sentAt, notice.Server{ID: rq.engine.id, StartUnixMS: rq.engine.incarnation})
 	rq.countServed()
 	rq.node.path.Answered(rq.ru.now)
 	rq.node.fleet.FirstToken(rq.ru.now, rq.engine.id, rq.ticket)
 	rq.passLimitOn()
+	rq.passLeavingOn()
 	rq.beginStream()
 	rq.started = true
 	took := rq.ru.now.Sub(rq.at)
--- a/internal/bench/crowd/limit.go
+++ b/internal/bench/crowd/limit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/units"
 )
@@ -224,7 +225,7 @@
 // passLimitOn shows the node the limit that its server names in the answer, which it passes on.
 func (rq *request) passLimitOn() {
 	ru := rq.ru
-	rq.node.permits.Observe(ru.now, rq.sentAt, permit.Server{ID: rq.engine.id, StartUnixMS: rq.engine.incarnation}, permit.Limit{
+	rq.node.permits.Observe(ru.now, rq.sentAt, notice.Server{ID: rq.engine.id, StartUnixMS: rq.engine.incarnation}, permit.Limit{
 		Rate: rq.engine.limit(), Named: rq.engine.period != nil,
 	})
 	if pe := rq.engine.period; pe != nil && pe.told[rq.node].IsZero() {
--- a/internal/bench/crowd/node.go
+++ b/internal/bench/crowd/node.go
@@ -7,6 +7,7 @@
 	"lycheepick/internal/rule/admit"
 	"lycheepick/internal/rule/crash"
 	"lycheepick/internal/rule/detour"
+	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/pool"
@@ -44,8 +45,10 @@
 	// servers whose permits are being asked for.
 	permits     *permit.Book
 	members     *permit.Members
-	asking      map[permit.Server]bool
+	asking      map[notice.Server]bool
 	permitRetry permit.RetryAfter
+	// leaving holds the servers that have said that they leave.
+	leaving *notice.Table[notice.Leaving]
 	// origins and versions are the state of streams that may be taken up again.
 	origins  *origin.Book
 	versions *origin.Versions
@@ -90,7 +93,8 @@
 	no.incarnation++
 	no.fleet, no.pool, no.watch = place.NewFleet(), pool.New(ru.tolerance()), watch.New(no.id)
 	no.budget, no.inFlight = retry.NewBudget(retryShare, retryReserve), map[units.VMID]int{}
-	no.permits, no.members, no.asking, no.permitRetry = permit.NewBook(), permit.NewMembers(no.id), map[permit.Server]bool{}, permit.RetryAfter{}
+	no.permits, no.members, no.asking, no.permitRetry = permit.NewBook(), permit.NewMembers(no.id), map[notice.Server]bool{}, permit.RetryAfter{}
+	no.leaving = notice.NewLeaving()
 	no.origins, no.versions = origin.NewBook(), origin.NewVersions()
 	no.crashes = crash.NewBook(uint32(num)<<8 | uint32(no.incarnation))
 	no.path, no.detours, no.isCut, no.dialing = detour.NewPath(), detour.NewNodes(), false, map[*request]int{}
@@ -149,7 +153,7 @@
 	for _, sv := range list {
 		no.versions.See(no.ru.now, sv.Service, sv.Version)
 	}
-	no.fleet.SetServers(no.ru.now, list)
+	no.applyServers()
 }
 
 // exchange swaps reports with some of the peers, in both directions.
@@ -184,7 +188,8 @@
 	no.pool.MergeReport(now, other.id, other.incarnation, other.pool.Admitted())
 	no.pool.MergeRelayed(now, other.pool.Relay(now))
 	no.members.Heard(now, other.id, true)
-	no.permits.Merge(now, other.permits.Observations(now))
+	no.permits.Merge(now, now, other.permits.Observations(now))
+	no.mergeLeaving(other)
 	no.versions.Merge(now, other.versions.Several(now))
 	no.unreached[other.id] = other.path.State() == detour.Cut
 	no.lost[other.id] = false
@@ -336,7 +341,7 @@
 	ch, found := no.choose(rq)
 	if ch.Held != nil && rq.asks < maxAsks && (!found || rq.asks == 0) {
 		rq.asks++
-		if sv := permitServer(ch.Held); !no.asking[sv] {
+		if sv := noticeServer(ch.Held); !no.asking[sv] {
 			no.ask(sv, func() { no.trySend(rq) })
 			return
 		}
@@ -363,7 +368,7 @@
 	}
 	rq.sends++
 	rq.ticket = no.fleet.Dispatch(no.ru.now, &rq.ask, &ch)
-	no.permits.Use(no.ru.now, permitServer(&ch.Server))
+	no.permits.Use(no.ru.now, noticeServer(&ch.Server))
 	no.inFlight[ch.Server.ID]++
 	no.running++
 	rq.engine = no.ru.engineOf(ch.Server.ID)
@@ -378,8 +383,8 @@
 	rq.engine.start(rq)
 }
 
-func permitServer(sv *server.Server) permit.Server {
-	return permit.Server{ID: sv.ID, StartUnixMS: sv.StartUnixMS}
+func noticeServer(sv *server.Server) notice.Server {
+	return notice.Server{ID: sv.ID, StartUnixMS: sv.StartUnixMS}
 }
 
 // askTimeout is the timeout of a request for permits.
@@ -387,7 +392,7 @@
 
 // ask asks the issuer of a server's permits for some and then calls done. A peer that is not
 // the issuer in its own view names the one that is.
-func (no *node) ask(sv permit.Server, done func()) {
+func (no *node) ask(sv notice.Server, done func()) {
 	no.asking[sv] = true
 	rq := no.permits.Request(no.ru.now, sv)
 	no.askNode(no.members.Issuer(no.ru.now, sv), rq, true, func() {
@@ -432,7 +437,7 @@
 func (no *node) noServerRetryAfter() time.Duration {
 	rate, limited := units.RequestsPerSecond(0), false
 	for _, sv := range no.servers {
-		if li := no.permits.Limit(permitServer(&sv)); li.Named {
+		if li := no.permits.Limit(noticeServer(&sv)); li.Named {
 			rate, limited = rate+li.Rate, true
 		}
 	}
@@ -444,7 +449,7 @@
 
 func (no *node) choose(rq *request) (place.Choice, bool) {
 	if !no.ru.Naive {
-		rq.ask.Gate = func(sv *server.Server) permit.Gate { return no.permits.Gate(no.ru.now, permitServer(sv)) }
+		rq.ask.Gate = func(sv *server.Server) permit.Gate { return no.permits.Gate(no.ru.now, noticeServer(sv)) }
 		return no.fleet.Choose(no.ru.now, &rq.ask)
 	}
 	best := -1
--- a/internal/edge/relay/crashes_test.go
+++ b/internal/edge/relay/crashes_test.go
@@ -12,7 +12,7 @@
 	"lycheepick/internal/edge/relay"
 	"lycheepick/internal/rule/crash"
 	"lycheepick/internal/rule/fault"
-	"lycheepick/internal/rule/permit"
+	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/state/routes"
@@ -27,7 +27,7 @@
 	now := time.Now()
 	for num := range 4 {
 		at := now.Add(-age - time.Duration(3-num)*time.Second)
-		bo.Lost(now, permit.Server{ID: units.VMID(rune('p' + num))}, crash.Loss{Request: uint32(num), At: at, Parts: []place.BlockID{sharedPart, guiltyPart}})
+		bo.Lost(now, notice.Server{ID: units.VMID(rune('p' + num))}, crash.Loss{Request: uint32(num), At: at, Parts: []place.BlockID{sharedPart, guiltyPart}})
 	}
 	bo.Judge(now)
 	rl.ApplyCrashReport(now, bo.Report(now.Add(4*time.Second), crash.Summary{}))
--- a/internal/edge/relay/detour.go
+++ b/internal/edge/relay/detour.go
@@ -12,6 +12,7 @@
 	"lycheepick/internal/rule/crash"
 	"lycheepick/internal/rule/detour"
 	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/units"
@@ -55,6 +56,8 @@
 type Forwardable interface {
 	// Raw returns the client's request header and body as they were read.
 	Raw() (header, body []byte)
+	// Notices returns what a response says of its server.
+	Notices(hd *fasthttp.ResponseHeader) (permit.Limit, notice.Leaving)
 }
 
 // ServedSink is a Sink that is told which server responds.
@@ -89,7 +92,7 @@
 
 // heldLoss is an attempt that may have been lost to the path and not to its server.
 type heldLoss struct {
-	server permit.Server
+	server notice.Server
 	loss   crash.Loss
 }
 
@@ -207,7 +210,7 @@
 func (rl *Relay) lost(id units.TargetID, pi *picked, lo crash.Loss) {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	se, sv := rl.service(id), permitServer(&pi.Server)
+	se, sv := rl.service(id), noticeServer(&pi.Server)
 	if se.blamesPath(pi.sent) {
 		return
 	}
@@ -291,7 +294,8 @@
 		})
 		defer ru.firstByteTimer.Stop()
 	}
-	header, body := ru.ex.(Forwardable).Raw()
+	via := ru.ex.(Forwardable)
+	header, body := via.Raw()
 	began := time.Now()
 	rp, err := ru.rl.Detours.Forward(ctx, &Forward{
 		ID: rq.ID, Service: rq.Service, Header: header, Body: body, Arrived: rq.Arrived, Deadline: rq.Deadline,
@@ -309,6 +313,7 @@
 		ru.refusal = re
 		return fault.New(op, KindRefused, "through another node: status %d, %s", re.Status, re.Reason)
 	}
+	ru.observeForwarded(via, rp)
 	pi := &picked{Choice: place.Choice{Server: rp.Server}, sent: began, detour: true}
 	ru.last = *pi
 	if rq.Route.Stream && rp.Status == fasthttp.StatusOK {
--- a/internal/edge/relay/detour_test.go
+++ b/internal/edge/relay/detour_test.go
@@ -9,6 +9,8 @@
 
 	"lycheepick/internal/edge/relay"
 	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/notice"
+	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/state/answer"
 	"lycheepick/internal/state/routes"
 	"lycheepick/internal/state/server"
@@ -21,6 +23,10 @@
 
 func (rawExchange) Raw() (header, body []byte) { return []byte("GET / HTTP/1.1\r\n\r\n"), nil }
 
+func (rawExchange) Notices(*fasthttp.ResponseHeader) (permit.Limit, notice.Leaving) {
+	return permit.Limit{}, false
+}
+
 // detours is another node that gives the same end to all requests.
 type detours struct {
 	reply *relay.Reply
--- a/internal/edge/relay/dispatch.go
+++ b/internal/edge/relay/dispatch.go
@@ -41,13 +41,13 @@
 	se := rl.service(id)
 	pi.listAge = now.Sub(se.listReadAt)
 	pi.serversAge = now.Sub(time.Unix(0, rl.syncedAt.Load()))
-	ask.Gate = func(sv *server.Server) permit.Gate { return rl.permits.Gate(now, permitServer(sv)) }
+	ask.Gate = func(sv *server.Server) permit.Gate { return rl.permits.Gate(now, noticeServer(sv)) }
 	pi.Choice, found = se.fleet.Choose(now, ask)
 	if !found || !send(&pi.Choice) {
 		return pi, found, false
 	}
-	pi.limited = rl.permits.Limit(permitServer(&pi.Server)).Named
-	rl.permits.Use(now, permitServer(&pi.Server))
+	pi.limited = rl.permits.Limit(noticeServer(&pi.Server)).Named
+	rl.permits.Use(now, noticeServer(&pi.Server))
 	pi.ticket, pi.sent = se.fleet.Dispatch(now, ask, &pi.Choice), now
 	pi.dial, pi.openOnly = se.dial, se.path.State() == detour.Cut
 	return pi, true, true
@@ -58,7 +58,7 @@
 	defer rl.mu.Unlock()
 	now := time.Now()
 	rl.service(id).fleet.FirstToken(now, pi.Server.ID, pi.ticket)
-	rl.crashes.Heard(pi.sent, permitServer(&pi.Server))
+	rl.crashes.Heard(pi.sent, noticeServer(&pi.Server))
 }
 
 func (rl *Relay) recordEnd(id units.TargetID, pi *picked, res place.Result) {
--- a/internal/edge/relay/origins_test.go
+++ b/internal/edge/relay/origins_test.go
@@ -119,7 +119,7 @@
 // version alone, and takes up a stream that another version began.
 func TestVersionsOfPeersCount(t *testing.T) {
 	rl, ex, si := versionRelay("1", "1"), &versionServers{}, &sink{}
-	rl.ApplyPeerReport(time.Now(), "peer", 1, relay.LoadReport{Versions: map[units.TargetID]origin.Ages{"app": {"1": 0, "2": time.Minute}}})
+	rl.ApplyPeerReport(time.Now(), time.Now(), "peer", 1, relay.LoadReport{Versions: map[units.TargetID]origin.Ages{"app": {"1": 0, "2": time.Minute}}})
 	rq := request(routes.Route{Stream: true, RetryPolicy: routes.Resumable})
 	rq.Customer, rq.Resumes, rq.LastEvent = nil, "first", "3"
 	rl.Serve(context.Background(), rq, ex, si)
--- a/internal/edge/relay/permits.go
+++ b/internal/edge/relay/permits.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/units"
@@ -16,24 +17,6 @@
 // request that can go to a server without a limit asks once.
 const maxAsks = 3
 
-func permitServer(sv *server.Server) permit.Server {
-	return permit.Server{ID: sv.ID, StartUnixMS: sv.StartUnixMS}
-}
-
-// observeLimit records the limit that a response names for its server. Only a response that
-// is the server's own shows that it names none.
-func (rl *Relay) observeLimit(sv *server.Server, rp *Reply) {
-	if rp.Misdirected || (!rp.Limit.Named && !rp.Authentic) {
-		return
-	}
-	rl.mu.Lock()
-	changed := rl.permits.Observe(time.Now(), rp.SentAt, permitServer(sv), rp.Limit)
-	rl.mu.Unlock()
-	if changed {
-		rl.logServerLimit(sv.ID, rp.Limit, "answer")
-	}
-}
-
 func (rl *Relay) logServerLimit(id units.VMID, li permit.Limit, source string) {
 	rl.Log.Info("server_limit", zap.String("server", string(id)), zap.Bool("named", li.Named),
 		zap.Float64("rate", float64(li.Rate)), zap.String("source", source))
@@ -49,7 +32,7 @@
 	}
 	var out []units.RequestsPerSecond
 	for _, sv := range se.fleet.List() {
-		if li := rl.permits.Limit(permitServer(sv)); li.Named && !sv.Draining {
+		if li := rl.permits.Limit(noticeServer(sv)); li.Named && !sv.Draining {
 			out = append(out, li.Rate)
 		}
 	}
@@ -60,7 +43,7 @@
 func (rl *Relay) isLimited(sv *server.Server) bool {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	return rl.permits.Limit(permitServer(sv)).Named
+	return rl.permits.Limit(noticeServer(sv)).Named
 }
 
 // IssuePermits answers a request for permits that this node issues.
@@ -74,7 +57,7 @@
 
 // askPermits asks for permits of a server, unless that is in progress, in which case it waits for
 // the answer if wait is set.
-func (rl *Relay) askPermits(ctx context.Context, sv permit.Server, wait bool) {
+func (rl *Relay) askPermits(ctx context.Context, sv notice.Server, wait bool) {
 	rl.mu.Lock()
 	pending := rl.asks[sv]
 	if pending == nil {
@@ -123,7 +106,7 @@
 	rate := units.RequestsPerSecond(0)
 	limited := false
 	for _, sv := range se.fleet.List() {
-		if li := rl.permits.Limit(permitServer(sv)); li.Named && !sv.Draining {
+		if li := rl.permits.Limit(noticeServer(sv)); li.Named && !sv.Draining {
 			limited, rate = true, rate+li.Rate
 		}
 	}
@@ -140,6 +123,6 @@
 		return false
 	}
 	ru.asks++
-	ru.rl.askPermits(ctx, permitServer(ch.Held), !found)
+	ru.rl.askPermits(ctx, noticeServer(ch.Held), !found)
 	return true
 }
--- a/internal/edge/relay/permits_test.go
+++ b/internal/edge/relay/permits_test.go
@@ -11,6 +11,7 @@
 
 	"lycheepick/internal/edge/relay"
 	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/state/routes"
@@ -61,8 +62,8 @@
 		t.Run(tt.name, func(t *testing.T) {
 			rl, ex, si := newRelay(2), &limitedServers{names: true}, &sink{}
 			for _, id := range []units.VMID{"a", "b"} {
-				rl.ApplyPeerReport(time.Now(), "peer", 1, relay.LoadReport{ServerLimits: []permit.Observation{
-					{Server: permit.Server{ID: id}, Limit: permit.Limit{Rate: 1, Named: true}},
+				rl.ApplyPeerReport(time.Now(), time.Now(), "peer", 1, relay.LoadReport{ServerLimits: []permit.Observation{
+					{Server: notice.Server{ID: id}, Limit: permit.Limit{Rate: 1, Named: true}},
 				}})
 			}
 			left := map[units.VMID]int{"a": tt.granted, "b": tt.granted}
@@ -102,8 +103,8 @@
 			return
 		}
 		first = at.Server.ID
-		rl.ApplyPeerReport(time.Now(), "peer", 1, relay.LoadReport{ServerLimits: []permit.Observation{
-			{Server: permit.Server{ID: first}, Limit: permit.Limit{Rate: 1, Named: true}},
+		rl.ApplyPeerReport(time.Now(), time.Now(), "peer", 1, relay.LoadReport{ServerLimits: []permit.Observation{
+			{Server: notice.Server{ID: first}, Limit: permit.Limit{Rate: 1, Named: true}},
 		}})
 	}
 	rl.AskPermits = func(_ context.Context, rq permit.Request) (permit.Grant, error) {
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -16,6 +16,7 @@
 
 	"lycheepick/internal/rule/crash"
 	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/pool"
@@ -124,8 +125,10 @@
 	// Authentic is set if the response carries the mark of the backend server, so that it
 	// doesn't come from an intermediary.
 	Authentic bool
-	// Limit is the limit that the response names for its server.
-	Limit permit.Limit
+	// Limit is the limit that the response names for its server, and Leaving is set if the server
+	// says that it leaves.
+	Limit   permit.Limit
+	Leaving notice.Leaving
 	// SentAt is when the request had been handed to the kernel.
 	SentAt time.Time
 	// Server is the server that another node chose, and Refusal what that node answered if there
@@ -220,7 +223,11 @@
 
 	mu     sync.Mutex
 	fleets map[units.TargetID]*service
-	pool   *pool.Pool
+	// listed are the servers as they were set. leaving holds those that have said in an answer that
+	// they leave, which their records may say later or never.
+	listed  []server.Server
+	leaving *notice.Table[notice.Leaving]
+	pool    *pool.Pool
 	// permits holds the limits that servers name.
 	permits *permit.Book
 	// versions holds the software versions that servers have had.
@@ -228,7 +235,7 @@
 	// crashes holds the requests that were lost with their servers.
 	crashes *crash.Book
 	// asks holds the requests for permits in progress; each channel is closed at the end.
-	asks map[permit.Server]chan struct{}
+	asks map[notice.Server]chan struct{}
 	// maxWaits holds, by route name, the longest time between a request's arrival and its
 	// deadline.
 	maxWaits map[string]time.Duration
@@ -274,7 +281,7 @@
 // New returns a relay without servers and limits; SetServers and SetLimits add them.
 func New(log *zap.Logger, zone units.ZoneID, me Meter, to pool.Tolerance) *Relay {
 	rl := &Relay{
-		Log: log, Zone: zone, Meter: me, fleets: map[units.TargetID]*service{}, pool: pool.New(to), permits: permit.NewBook(), versions: origin.NewVersions(), Origins: newLocalOrigins(), OwnsTrials: ownsTrials, crashes: crash.NewBook(rand.Uint32()), asks: map[permit.Server]chan struct{}{}, maxWaits: map[string]time.Duration{},
+		Log: log, Zone: zone, Meter: me, fleets: map[units.TargetID]*service{}, pool: pool.New(to), permits: permit.NewBook(), leaving: notice.NewLeaving(), versions: origin.NewVersions(), Origins: newLocalOrigins(), OwnsTrials: ownsTrials, crashes: crash.NewBook(rand.Uint32()), asks: map[notice.Server]chan struct{}{}, maxWaits: map[string]time.Duration{},
 		ObserveFirstByte: func(time.Duration) {},
 	}
 	rl.AskPermits = func(_ context.Context, rq permit.Request) (permit.Grant, error) {
@@ -294,29 +301,41 @@
 
 // SetServers replaces the backend servers.
 func (rl *Relay) SetServers(now time.Time, list []server.Server) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rl.listed = list
+	for _, se := range rl.fleets {
+		se.listReadAt = now
+	}
+	listed := make(map[notice.Server]bool, len(list))
+	for idx := range list {
+		listed[noticeServer(&list[idx])] = true
+	}
+	rl.permits.Retain(now, func(sv notice.Server) bool { return listed[sv] })
+	rl.leaving.Retain(now, func(sv notice.Server) bool { return listed[sv] })
+	rl.applyServers(now)
+	rl.seeVersions(now)
+}
+
+// applyServers puts the listed servers in use. Those that have said that they leave count as
+// draining. The caller holds mu.
+func (rl *Relay) applyServers(now time.Time) {
 	by := map[units.TargetID][]server.Server{}
-	open := make(map[units.VMID]int64, len(list))
-	for _, sv := range list {
+	open := make(map[units.VMID]int64, len(rl.listed))
+	for _, sv := range rl.listed {
+		sv.Draining = sv.Draining || bool(rl.leaving.Get(noticeServer(&sv)))
 		by[sv.Service] = append(by[sv.Service], sv)
 		if !sv.Draining {
 			open[sv.ID] = sv.StartUnixMS
 		}
 	}
 	rl.open.Store(&open)
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
 	for id := range by {
 		rl.service(id)
 	}
 	for id, se := range rl.fleets {
 		se.fleet.SetServers(now, by[id])
-		se.listReadAt = now
 	}
-	rl.seeVersions(now)
-	rl.permits.Retain(now, func(sv permit.Server) bool {
-		start, ok := open[sv.ID]
-		return ok && start == sv.StartUnixMS
-	})
 }
 
 // isLeaving reports whether a server that was chosen gets no more requests.
--- a/internal/edge/relay/report.go
+++ b/internal/edge/relay/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/pool"
@@ -20,13 +21,16 @@
 	PeerTotals   map[units.CustomerID][]pool.RelayedUsage
 	// ServerLimits are limits that servers have named.
 	ServerLimits []permit.Observation
+	// ServersLeaving are servers that have said that they leave.
+	ServersLeaving []notice.Heard[notice.Leaving]
 	// Versions are the software versions of services whose servers have had several.
 	Versions map[units.TargetID]origin.Ages
 }
 
 // ApplyPeerReport merges a peer's report into the local state. inc is the peer's
-// incarnation.
-func (rl *Relay) ApplyPeerReport(now time.Time, node units.VMID, inc int64, rep LoadReport) {
+// incarnation, and asOf a time at which the report had not been made yet, from which on the ages in
+// it count.
+func (rl *Relay) ApplyPeerReport(now, asOf time.Time, node units.VMID, inc int64, rep LoadReport) {
 	rl.mu.Lock()
 	for _, se := range rl.fleets {
 		se.fleet.SetPeerLoads(now, rl.pool.Peers(), node, rep.Loads)
@@ -35,11 +39,15 @@
 	rl.pool.MergeReport(now, node, inc, rep.Admitted)
 	rl.pool.MergeRelayed(now, rep.PeerTotals)
 	rl.versions.Merge(now, rep.Versions)
-	changes := rl.permits.Merge(now, rep.ServerLimits)
+	limits := rl.permits.Merge(now, asOf, rep.ServerLimits)
+	left := rl.mergeLeaving(now, asOf, rep.ServersLeaving)
 	rl.mu.Unlock()
-	for _, ob := range changes {
+	for _, ob := range limits {
 		rl.logServerLimit(ob.ID, ob.Limit, "peer "+string(node))
 	}
+	for _, he := range left {
+		rl.logLeaving(he.Server, "peer "+string(node))
+	}
 }
 
 // ExpectPeer registers a peer before its first report arrives.
@@ -59,7 +67,7 @@
 		se.fleet.RecentBlocks(now, rep.SentPrefixes)
 	}
 	rep.Admitted, rep.PeerTotals = rl.pool.Admitted(), rl.pool.Relay(now)
-	rep.ServerLimits = rl.permits.Observations(now)
+	rep.ServerLimits, rep.ServersLeaving = rl.permits.Observations(now), rl.leaving.Heard(now)
 	rl.seeVersions(now)
 	rep.Versions = rl.versions.Several(now)
 	return rep
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -432,7 +432,7 @@
 	defer rp.Close()
 	ru.rl.pathAnswered(ru.rq.Service)
 	ru.unsent = rp.SentAt.Sub(pi.sent)
-	ru.rl.observeLimit(&pi.Server, rp)
+	ru.rl.observe(&pi.Server, rp)
 	if rp.Refused || rp.Misdirected {
 		ru.rl.Counts.Refused.Add(1)
 		return fault.New(op, KindRefused, "server %s refused with status %d", pi.Server.ID, rp.Status)
--- a/internal/node/entry/follow_test.go
+++ b/internal/node/entry/follow_test.go
@@ -102,7 +102,7 @@
 	if edit != nil {
 		edit(re)
 	}
-	ft.applyReport(&re.Report)
+	ft.applyReport(&re.Report, time.Now())
 	ft.applyServers(re, time.Now())
 }
 
--- a/internal/node/entry/forward.go
+++ b/internal/node/entry/forward.go
@@ -210,7 +210,7 @@
 		return nil, fault.Wrap(op, KindForward, err)
 	}
 	rp := &relay.Reply{Status: hd.StatusCode(), Authentic: true, Head: hd, Body: &frameReader{fs: fs}, Close: done, SentAt: time.Now()}
-	rp.Server.ID, rp.Server.Version = head.Server, head.Version
+	rp.Server.ID, rp.Server.StartUnixMS, rp.Server.Version = head.Server, head.Start, head.Version
 	return rp, nil
 }
 
@@ -373,7 +373,9 @@
 // Start implements relay.Sink.
 func (si *forwardSink) Start(hd *fasthttp.ResponseHeader) error {
 	si.started, si.status = true, hd.StatusCode()
-	return si.fs.SendJSON(pulse.FrameHead, &pulse.Head{Header: hd.Header(), Server: si.served.ID, Version: si.served.Version})
+	return si.fs.SendJSON(pulse.FrameHead, &pulse.Head{
+		Header: hd.Header(), Server: si.served.ID, Start: si.served.StartUnixMS, Version: si.served.Version,
+	})
 }
 
 // Part implements relay.Sink.
--- a/internal/node/entry/gap_test.go
+++ b/internal/node/entry/gap_test.go
@@ -267,7 +267,7 @@
 	}
 	re := other.Exchange(&pulse.Request{Report: no.report(), WantServers: no.wantsServers(id), WantConfig: pulse.ConfigNone})
 	apply := func() {
-		no.applyReport(&re.Report)
+		no.applyReport(&re.Report, asked)
 		no.applyServers(re, asked)
 	}
 	if fl.rnd.Float64() < fl.lateShare {
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -224,7 +224,7 @@
 		no.log.Debug("exchange_failed", zap.String("peer", addr), zap.Error(err))
 		return
 	}
-	no.applyReport(&re.Report)
+	no.applyReport(&re.Report, asked)
 	no.relay.ApplyCrashReport(time.Now(), re.Crashes)
 	no.applyPeerConfig(re)
 	no.notePeerConfig(&re.Report, asked)
@@ -341,7 +341,7 @@
 		Peer:        pulse.Peer{Node: no.settings.VM.ID, Address: no.settings.Listen.Peers},
 		Incarnation: no.incarnation, Wall: now.UnixNano(), HoldsLease: no.isLeader.Load(), StoreTransitions: no.storeHealth.transitionCount(),
 		Loads: rep.Loads, SentPrefixes: rep.SentPrefixes, Admitted: rep.Admitted, PeerAdmitted: rep.PeerTotals,
-		ServerLimits: rep.ServerLimits, IssuesPermits: true, Versions: rep.Versions,
+		ServerLimits: rep.ServerLimits, ServersLeaving: leavingTo(rep.ServersLeaving), IssuesPermits: true, Versions: rep.Versions,
 	}
 	if fo := no.config.Load(); fo != nil {
 		out.Config = fo.Version
@@ -368,10 +368,14 @@
 	return out
 }
 
-// applyReport updates the state of a peer from its report.
-func (no *Node) applyReport(re *pulse.Report) {
+// applyReport updates the state of a peer from its report. asOf is a time at which the report had
+// not been made yet, as far as this node can tell.
+func (no *Node) applyReport(re *pulse.Report, asOf time.Time) {
 	now := time.Now()
-	no.relay.ApplyPeerReport(now, re.Node, re.Incarnation, relay.LoadReport{Loads: re.Loads, SentPrefixes: re.SentPrefixes, Admitted: re.Admitted, PeerTotals: re.PeerAdmitted, ServerLimits: re.ServerLimits, Versions: re.Versions})
+	no.relay.ApplyPeerReport(now, asOf, re.Node, re.Incarnation, relay.LoadReport{
+		Loads: re.Loads, SentPrefixes: re.SentPrefixes, Admitted: re.Admitted, PeerTotals: re.PeerAdmitted, ServerLimits: re.ServerLimits,
+		ServersLeaving: leavingFrom(re.ServersLeaving), Versions: re.Versions,
+	})
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	pe := no.addPeer(re.Peer)
@@ -425,7 +429,7 @@
 // Exchange implements pulse.Handler. It applies a peer's report and returns this node's, with the
 // configuration and the server records that the peer lacks.
 func (no *Node) Exchange(rq *pulse.Request) *pulse.Reply {
-	no.applyReport(&rq.Report)
+	no.applyReport(&rq.Report, time.Now())
 	out := &pulse.Reply{Report: no.report(), Crashes: no.relay.CrashReport(time.Now(), rq.Crashes)}
 	if fo := no.config.Load(); fo.version() > rq.Config {
 		no.addConfig(out, fo, rq.WantConfig)
--- a/internal/node/entry/permits.go
+++ b/internal/node/entry/permits.go
@@ -6,6 +6,7 @@
 
 	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/units"
 )
@@ -42,7 +43,7 @@
 }
 
 // permitIssuer returns the node that issues a server's permits.
-func (no *Node) permitIssuer(sv permit.Server) pulse.Peer {
+func (no *Node) permitIssuer(sv notice.Server) pulse.Peer {
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	id := no.members.Issuer(time.Now(), sv)
--- a/internal/peer/pulse/forward.go
+++ b/internal/peer/pulse/forward.go
@@ -65,8 +65,10 @@
 // Head is the header of a server's response, and the server.
 type Head struct {
 	// Header is the response header in HTTP's form.
-	Header  []byte                `json:"header"`
-	Server  units.VMID            `json:"server"`
+	Header []byte     `json:"header"`
+	Server units.VMID `json:"server"`
+	// Start is the server's start time in Unix milliseconds. Nodes up to version 0.4 don't send it.
+	Start   int64                 `json:"start,omitempty"`
 	Version units.SoftwareVersion `json:"version"`
 }
 
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -20,6 +20,7 @@
 	"lycheepick/internal/plat/stream"
 	"lycheepick/internal/rule/crash"
 	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/pool"
@@ -94,14 +95,22 @@
 	Offered map[units.TargetID]Demand `json:"offered,omitempty"`
 	// ServerLimits are limits that servers have named, and IssuesPermits is set by nodes that
 	// issue permits for them and keep the origins of streams.
-	ServerLimits  []permit.Observation `json:"server_limits,omitempty"`
-	IssuesPermits bool                 `json:"issues_permits,omitempty"`
+	ServerLimits []permit.Observation `json:"server_limits,omitempty"`
+	// ServersLeaving are servers that have said in an answer that they leave.
+	ServersLeaving []Departure `json:"servers_leaving,omitempty"`
+	IssuesPermits  bool        `json:"issues_permits,omitempty"`
 	// Versions are the software versions of services whose servers have had several.
 	Versions map[units.TargetID]origin.Ages `json:"versions,omitempty"`
 	// Peers is a subset of the nodes with which this node exchanges state.
 	Peers []Peer `json:"peers,omitempty"`
 }
 
+// Departure is a server that said some time ago that it leaves.
+type Departure struct {
+	notice.Server
+	Age time.Duration `json:"age"`
+}
+
 // Demand counts requests, their prompt tokens, and the requests that started late.
 type Demand struct {
 	Requests     int64        `json:"requests"`
--- a/internal/rule/crash/crash.go
+++ b/internal/rule/crash/crash.go
@@ -15,7 +15,7 @@
 	"slices"
 	"time"
 
-	"lycheepick/internal/rule/permit"
+	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/place"
 )
 
@@ -89,7 +89,7 @@
 
 // Book holds what one node knows of crashes.
 type Book struct {
-	crashes   map[permit.Server]*record
+	crashes   map[notice.Server]*record
 	byKey     map[Key][]*record
 	completed map[Key][]completion
 	verdicts  map[Key]*verdict
@@ -123,7 +123,7 @@
 
 // record is what is known of one incarnation of a server.
 type record struct {
-	server permit.Server
+	server notice.Server
 	losses map[uint32]Loss
 	// byKey holds the requests that were lost with a key.
 	byKey map[Key][]uint32
@@ -142,13 +142,13 @@
 // node differ from those at others.
 func NewBook(node uint32) *Book {
 	return &Book{
-		crashes: map[permit.Server]*record{}, byKey: map[Key][]*record{}, completed: map[Key][]completion{},
+		crashes: map[notice.Server]*record{}, byKey: map[Key][]*record{}, completed: map[Key][]completion{},
 		verdicts: map[Key]*verdict{}, node: node, sound: map[Key]time.Time{},
 	}
 }
 
 // Lost records an attempt that its server broke off.
-func (bo *Book) Lost(now time.Time, sv permit.Server, lo Loss) {
+func (bo *Book) Lost(now time.Time, sv notice.Server, lo Loss) {
 	bo.rotate(now)
 	lo.Parts = slices.DeleteFunc(sample(lo.Parts), func(id place.BlockID) bool { return bo.isSound(PartKey(id)) })
 	if bo.isSound(RequestKey(lo.Content)) {
@@ -195,7 +195,7 @@
 	return slices.Clone(out[:min(len(out), maxParts)])
 }
 
-func (bo *Book) record(sv permit.Server) *record {
+func (bo *Book) record(sv notice.Server) *record {
 	re := bo.crashes[sv]
 	if re == nil {
 		re = &record{server: sv, losses: map[uint32]Loss{}, byKey: map[Key][]uint32{}}
@@ -204,7 +204,7 @@
 	return re
 }
 
-func (bo *Book) add(now time.Time, sv permit.Server, lo Loss) {
+func (bo *Book) add(now time.Time, sv notice.Server, lo Loss) {
 	if (lo.Content == 0 && len(lo.Parts) == 0) || now.Sub(lo.At) > longMemory {
 		return
 	}
@@ -230,7 +230,7 @@
 
 // Heard records that a server served at a time. A server that goes on after it broke off a
 // request has not crashed.
-func (bo *Book) Heard(at time.Time, sv permit.Server) {
+func (bo *Book) Heard(at time.Time, sv notice.Server) {
 	re := bo.crashes[sv]
 	if re == nil || !at.After(re.heardAt) {
 		return
--- a/internal/rule/crash/crash_test.go
+++ b/internal/rule/crash/crash_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"lycheepick/internal/rule/crash"
-	"lycheepick/internal/rule/permit"
+	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/units"
 )
@@ -38,8 +38,8 @@
 	return lo
 }
 
-func server(num int) permit.Server {
-	return permit.Server{ID: units.VMID(fmt.Sprint("server-", num)), StartUnixMS: 1}
+func server(num int) notice.Server {
+	return notice.Server{ID: units.VMID(fmt.Sprint("server-", num)), StartUnixMS: 1}
 }
 
 // crash loses a request with each of these prompts in one crash.
--- a/internal/rule/crash/report.go
+++ b/internal/rule/crash/report.go
@@ -9,7 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"lycheepick/internal/rule/permit"
+	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/place"
 )
 
@@ -36,7 +36,7 @@
 
 // Server is what is known of one incarnation of a server.
 type Server struct {
-	permit.Server
+	notice.Server
 	// HeardAge is the time since the server is known to have served, 0 if it hasn't survived a loss.
 	HeardAge time.Duration `json:"heard_age,omitempty"`
 	// Lost holds losses: the request, its content, the age in ms, the number of parts, and the parts.
@@ -100,7 +100,7 @@
 }
 
 // number returns a short number for an incarnation of a server.
-func number(sv permit.Server) uint32 {
+func number(sv notice.Server) uint32 {
 	return uint32(xxhash.Sum64String(string(sv.ID)) ^ uint64(sv.StartUnixMS)*0x9e3779b97f4a7c15>>32)
 }
 
--- a/internal/rule/permit/issuer.go
+++ b/internal/rule/permit/issuer.go
@@ -47,11 +47,11 @@
 func (bo *Book) Issue(now time.Time, rq Request, share float64) Grant {
 	bo.apply(now, now.Add(-rq.Age), rq.Server, rq.Limit)
 	gr := Grant{Observation: bo.observation(now, rq.Server)}
-	st := bo.servers[rq.Server]
-	if st == nil || !st.limit.Named {
+	st := bo.named(rq.Server)
+	if st == nil {
 		return gr
 	}
-	rate := float64(max(st.limit.Rate, minIssueRate)) * share
+	rate := float64(max(gr.Rate, minIssueRate)) * share
 	is := &st.issuer
 	is.refill(now, rate)
 	if is.level >= 1 {
--- a/internal/rule/permit/members.go
+++ b/internal/rule/permit/members.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/rule/watch"
 )
@@ -68,7 +69,7 @@
 func (me *Members) Forget(node units.VMID) { delete(me.peers, node) }
 
 // Issuer returns the node that issues the permits of a server.
-func (me *Members) Issuer(now time.Time, sv Server) units.VMID {
+func (me *Members) Issuer(now time.Time, sv notice.Server) units.VMID {
 	best, bestRank := me.own, rank(sv, me.own)
 	for id, pe := range me.peers {
 		if rk := rank(sv, id); rk > bestRank && pe.issues && me.reachable(now, pe) {
@@ -144,7 +145,7 @@
 	return out
 }
 
-func rank(sv Server, node units.VMID) uint64 {
+func rank(sv notice.Server, node units.VMID) uint64 {
 	var buf [8]byte
 	binary.LittleEndian.PutUint64(buf[:], uint64(sv.StartUnixMS))
 	di := xxhash.New()
--- a/internal/rule/permit/permit.go
+++ b/internal/rule/permit/permit.go
@@ -13,16 +13,10 @@
 import (
 	"time"
 
+	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/units"
 )
 
-// Server identifies one incarnation of a backend server, whose limit does not apply to the
-// next one.
-type Server struct {
-	ID          units.VMID `json:"server"`
-	StartUnixMS int64      `json:"start,omitempty"`
-}
-
 // Limit is the number of requests a second that a server takes from all nodes together. The
 // zero value is no limit; a limit of 0 requests a second has Named set.
 type Limit struct {
@@ -32,7 +26,7 @@
 
 // Observation is a server's limit as one of its answers showed it some time ago.
 type Observation struct {
-	Server
+	notice.Server
 	Limit
 	Age time.Duration `json:"age"`
 }
@@ -43,26 +37,18 @@
 	permitTTL = 500 * time.Millisecond
 	// failedAskDelay is the time after which an issuer that can't be reached is asked again.
 	failedAskDelay = 300 * time.Millisecond
-	// announceTime is how long a change is part of each report. Reports also have up to
-	// maxRepeated older limits, for nodes that missed the change.
-	announceTime = 5 * time.Second
-	maxRepeated  = 16
-	// forgetTime is how long the limit of a server is kept that is not in the list of servers.
-	forgetTime = time.Minute
 )
 
 // Book holds what one node knows of the servers' limits, and its permits.
 type Book struct {
-	servers map[Server]*state
+	limits *notice.Table[Limit]
+	// servers holds the permits of servers that name a limit, or have named one.
+	servers map[notice.Server]*state
 }
 
 type state struct {
-	limit Limit
-	// observedAt is when a server gave the answer that the limit was read from, changedAt when
-	// this node learned of the latest change.
-	observedAt, changedAt time.Time
-	permits               int
-	expiresAt             time.Time
+	permits   int
+	expiresAt time.Time
 	// want is the number of permits to ask for: more once all of the last grant were used.
 	want     int
 	askAfter time.Time
@@ -70,59 +56,44 @@
 }
 
 // NewBook returns a book without limits.
-func NewBook() *Book { return &Book{servers: map[Server]*state{}} }
+func NewBook() *Book {
+	return &Book{limits: notice.NewTable[Limit](notice.Latest[Limit]{}), servers: map[notice.Server]*state{}}
+}
 
 // Observe records the limit of an answer to a request that was sent at sentAt. It returns true
 // if that is a change. An answer without a limit may be as old as its request, so it does not
 // end a limit that was named since.
-func (bo *Book) Observe(now, sentAt time.Time, sv Server, li Limit) bool {
+func (bo *Book) Observe(now, sentAt time.Time, sv notice.Server, li Limit) bool {
 	if !li.Named {
 		return bo.apply(now, sentAt, sv, li)
 	}
 	return bo.apply(now, now, sv, li)
 }
 
-// Merge records what a peer has observed and returns the changes.
-func (bo *Book) Merge(now time.Time, list []Observation) []Observation {
+// Merge records what a peer had observed as of a time and returns the changes.
+func (bo *Book) Merge(now, asOf time.Time, list []Observation) []Observation {
 	var changes []Observation
 	for _, ob := range list {
-		if bo.apply(now, now.Add(-ob.Age), ob.Server, ob.Limit) {
+		if bo.apply(now, asOf.Add(-ob.Age), ob.Server, ob.Limit) {
 			changes = append(changes, ob)
 		}
 	}
 	return changes
 }
 
-func (bo *Book) apply(now, at time.Time, sv Server, li Limit) bool {
-	st := bo.servers[sv]
-	if st == nil {
-		if !li.Named {
-			return false
-		}
-		st = &state{}
-		bo.servers[sv] = st
-	}
-	if !at.After(st.observedAt) {
-		return false
-	}
-	st.observedAt = at
-	if st.limit == li {
+func (bo *Book) apply(now, at time.Time, sv notice.Server, li Limit) bool {
+	before := bo.Limit(sv)
+	if !bo.limits.Observe(now, at, sv, li) {
 		return false
 	}
-	if st.limit.Named != li.Named {
-		st.permits, st.want, st.askAfter, st.issuer = 0, 1, time.Time{}, issuer{}
+	if before.Named != li.Named {
+		bo.servers[sv] = &state{want: 1}
 	}
-	st.limit, st.changedAt = li, now
 	return true
 }
 
 // Limit returns the limit that a server names.
-func (bo *Book) Limit(sv Server) Limit {
-	if st := bo.servers[sv]; st != nil {
-		return st.limit
-	}
-	return Limit{}
-}
+func (bo *Book) Limit(sv notice.Server) Limit { return bo.limits.Get(sv) }
 
 // Gate tells whether a server gets a request.
 type Gate int
@@ -138,10 +109,10 @@
 )
 
 // Gate returns whether a server gets a request now.
-func (bo *Book) Gate(now time.Time, sv Server) Gate {
-	st := bo.servers[sv]
+func (bo *Book) Gate(now time.Time, sv notice.Server) Gate {
+	st := bo.named(sv)
 	switch {
-	case st == nil || !st.limit.Named || st.valid(now) > 0:
+	case st == nil || st.valid(now) > 0:
 		return Open
 	case now.Before(st.askAfter):
 		return Closed
@@ -149,6 +120,14 @@
 	return Ask
 }
 
+// named returns the permits of a server, nil if it names no limit.
+func (bo *Book) named(sv notice.Server) *state {
+	if !bo.Limit(sv).Named {
+		return nil
+	}
+	return bo.servers[sv]
+}
+
 // valid returns the number of permits that have not expired.
 func (st *state) valid(now time.Time) int {
 	if now.After(st.expiresAt) {
@@ -158,7 +137,7 @@
 }
 
 // Use takes a permit for a request, if the server has a limit.
-func (bo *Book) Use(now time.Time, sv Server) {
+func (bo *Book) Use(now time.Time, sv notice.Server) {
 	st := bo.servers[sv]
 	if st == nil || st.valid(now) == 0 {
 		return
@@ -184,7 +163,7 @@
 }
 
 // Request returns the request for permits of a server.
-func (bo *Book) Request(now time.Time, sv Server) Request {
+func (bo *Book) Request(now time.Time, sv notice.Server) Request {
 	ob := bo.observation(now, sv)
 	want := 1
 	if st := bo.servers[sv]; st != nil {
@@ -193,19 +172,15 @@
 	return Request{Observation: ob, Want: want}
 }
 
-func (bo *Book) observation(now time.Time, sv Server) Observation {
-	ob := Observation{Server: sv}
-	if st := bo.servers[sv]; st != nil {
-		ob.Limit, ob.Age = st.limit, now.Sub(st.observedAt)
-	}
-	return ob
+func (bo *Book) observation(now time.Time, sv notice.Server) Observation {
+	return Observation{Server: sv, Limit: bo.Limit(sv), Age: bo.limits.Age(now, sv)}
 }
 
 // Receive records a grant.
 func (bo *Book) Receive(now time.Time, gr Grant) {
 	bo.apply(now, now.Add(-gr.Age), gr.Server, gr.Limit)
-	st := bo.servers[gr.Server]
-	if st == nil || !st.limit.Named {
+	st := bo.named(gr.Server)
+	if st == nil {
 		return
 	}
 	if gr.Permits == 0 {
@@ -220,7 +195,7 @@
 }
 
 // Failed records that the issuer of a server's permits gave no answer.
-func (bo *Book) Failed(now time.Time, sv Server) {
+func (bo *Book) Failed(now time.Time, sv notice.Server) {
 	if st := bo.servers[sv]; st != nil {
 		st.askAfter, st.want = now.Add(failedAskDelay), 1
 	}
@@ -229,26 +204,17 @@
 // Observations returns the limits to report to a peer: all that changed lately and some others.
 func (bo *Book) Observations(now time.Time) []Observation {
 	var out []Observation
-	var others []Server
-	for sv, st := range bo.servers {
-		switch {
-		case now.Sub(st.changedAt) <= announceTime:
-			out = append(out, bo.observation(now, sv))
-		case st.limit.Named:
-			others = append(others, sv)
-		}
-	}
-	// Map order is random, so all limits are repeated in time.
-	for _, sv := range others[:min(len(others), maxRepeated)] {
-		out = append(out, bo.observation(now, sv))
+	for _, he := range bo.limits.Heard(now) {
+		out = append(out, Observation{Server: he.Server, Limit: he.Value, Age: he.Age})
 	}
 	return out
 }
 
 // Retain forgets the limits of servers that are not listed and have not answered for a while.
-func (bo *Book) Retain(now time.Time, listed func(Server) bool) {
-	for sv, st := range bo.servers {
-		if !listed(sv) && now.Sub(st.observedAt) > forgetTime {
+func (bo *Book) Retain(now time.Time, listed func(notice.Server) bool) {
+	bo.limits.Retain(now, listed)
+	for sv := range bo.servers {
+		if !bo.limits.Has(sv) {
 			delete(bo.servers, sv)
 		}
 	}
--- a/internal/rule/permit/permit_test.go
+++ b/internal/rule/permit/permit_test.go
@@ -8,13 +8,14 @@
 	"pgregory.net/rapid"
 
 	_ "lycheepick/internal/fake/seed"
+	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/units"
 )
 
 var (
 	epoch   = time.Unix(1_000_000, 0)
-	limited = permit.Server{ID: "i-1", StartUnixMS: 7}
+	limited = notice.Server{ID: "i-1", StartUnixMS: 7}
 )
 
 func named(rate units.RequestsPerSecond) permit.Limit { return permit.Limit{Rate: rate, Named: true} }
@@ -77,15 +78,15 @@
 	}
 	bo := permit.NewBook()
 	bo.Observe(at(500), at(490), limited, named(2))
-	bo.Merge(at(700), []permit.Observation{{Server: limited, Age: 300 * time.Millisecond}})
+	bo.Merge(at(700), at(700), []permit.Observation{{Server: limited, Age: 300 * time.Millisecond}})
 	if !bo.Limit(limited).Named {
 		t.Error("an older observation of a peer ended the limit")
 	}
-	bo.Merge(at(700), []permit.Observation{{Server: limited, Age: 100 * time.Millisecond}})
+	bo.Merge(at(700), at(700), []permit.Observation{{Server: limited, Age: 100 * time.Millisecond}})
 	if bo.Limit(limited).Named {
 		t.Error("a newer observation of a peer did not end the limit")
 	}
-	bo.Observe(at(800), at(790), permit.Server{ID: limited.ID, StartUnixMS: 8}, named(2))
+	bo.Observe(at(800), at(790), notice.Server{ID: limited.ID, StartUnixMS: 8}, named(2))
 	if bo.Limit(limited).Named {
 		t.Error("the limit of the next incarnation applies to the one before")
 	}
@@ -170,7 +171,7 @@
 	for num := range 20 {
 		me.Heard(epoch, nodeID(num), true)
 	}
-	sv := permit.Server{ID: "i-2"}
+	sv := notice.Server{ID: "i-2"}
 	for me.Issuer(epoch, sv) == "own" {
 		sv.StartUnixMS++
 	}
@@ -230,7 +231,7 @@
 // hundreds of others, and all others in time.
 func TestLimitsSpread(t *testing.T) {
 	bo, peer := permit.NewBook(), permit.NewBook()
-	server := func(num int) permit.Server { return permit.Server{ID: units.VMID(fmt.Sprint("i-", num))} }
+	server := func(num int) notice.Server { return notice.Server{ID: units.VMID(fmt.Sprint("i-", num))} }
 	for num := range 300 {
 		bo.Observe(epoch, epoch, server(num), named(3))
 	}
@@ -238,7 +239,7 @@
 	for num := range 100 {
 		bo.Observe(now, now, server(num), named(1))
 	}
-	peer.Merge(now, bo.Observations(now))
+	peer.Merge(now, now, bo.Observations(now))
 	for num := range 100 {
 		if peer.Limit(server(num)) != named(1) {
 			t.Fatalf("one report does not carry the change of server %d", num)
@@ -250,7 +251,7 @@
 		if now.Sub(epoch) > 2*time.Minute && len(list) > 32 {
 			t.Fatalf("a report carries %d limits that have not changed", len(list))
 		}
-		peer.Merge(now, list)
+		peer.Merge(now, now, list)
 	}
 	for num := range 300 {
 		if !peer.Limit(server(num)).Named {
