An answer of the store that came late no longer counts as fresh

Nodes could go on with a list of servers, or a configuration, that was older than the bound, while they and all that rely on them took it for up to date.

Cause: a reader took its state for as recent as the arrival of the answer. The answer shows the store as of when it was written, which may be seconds before if a connection held it back; the reports then carry an age that is below the true one, and no node reads for itself. The listings counted from the question already. Class: an age that a node gives to news by when it heard them.

Fix: an answer with records counts from its question, one without from the end of the wait that the question asked for. A reader waits for the next change no longer than until its state is as old as one whole wait, so that the ages of healthy readers stay as they were.

That the users saw this is suspected only.

--- a/internal/node/entry/follow.go
+++ b/internal/node/entry/follow.go
@@ -76,7 +76,7 @@
 }
 
 func (no *Node) readConfig(ctx context.Context, next units.Offset) (units.Offset, error) {
-	wait := no.storeHealth.readWait(configReadWait)
+	wait, asked := no.readWait(watch.Config, configReadWait), time.Now()
 	page, err := no.platform.Store.Read(ctx, no.platform.OperatorStream, next, wait)
 	if fault.Is(err, stream.KindExpired) {
 		return -1, nil // Records were dropped; reload the newest of each key, which the store keeps.
@@ -94,12 +94,41 @@
 	if end < page.End {
 		return -1, nil // The rest may be many versions, of which only the newest matters.
 	}
-	now := time.Now()
+	at := answeredAt(asked, wait, len(page.Records))
 	no.applyRecords(items)
-	no.setConfigSynced(now)
+	no.setConfigSynced(at)
 	return end, nil
 }
 
+// minReadWait is the shortest time that a read waits for new records.
+const minReadWait = 100 * time.Millisecond
+
+// readWait returns how long the next read of a stream may wait for new records: so long that this
+// node's state is known to match the store at least each usual time.
+func (no *Node) readWait(st watch.Stream, usual time.Duration) time.Duration {
+	wait := no.storeHealth.readWait(usual)
+	if wait == 0 {
+		return 0
+	}
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	return max(minReadWait, min(wait, usual-no.watch.Age(st, time.Now())))
+}
+
+// answeredAt returns a time at which the store had not yet answered a read that was sent at asked,
+// whose answer has come now. It may have been on its way for long; only one without records is
+// known to have been written after the wait.
+func answeredAt(asked time.Time, wait time.Duration, records int) time.Time {
+	now, at := time.Now(), asked
+	if records == 0 {
+		at = at.Add(wait)
+	}
+	if at.After(now) {
+		return now
+	}
+	return at
+}
+
 // applyRecords applies the newest configuration among the operators' records that can be decoded.
 func (no *Node) applyRecords(items []stream.Keyed) {
 	for _, it := range slices.Backward(items) {
@@ -198,7 +227,7 @@
 	no.mu.Lock()
 	next, era := no.servers.NextOffset(), no.serversEra
 	no.mu.Unlock()
-	wait := no.storeHealth.readWait(serversReadWait)
+	wait, asked := no.readWait(watch.Servers, serversReadWait), time.Now()
 	page, err := no.platform.Store.Read(ctx, no.platform.ServerStream, next, wait)
 	if fault.Is(err, stream.KindExpired) {
 		return false, nil
@@ -224,7 +253,7 @@
 	end := page.From + units.Offset(len(page.Records))
 	no.servers.SkipTo(end)
 	if end >= page.End { // The list is up to date only if the page reaches the end of the stream.
-		no.setSynced(now)
+		no.setSynced(answeredAt(asked, wait, len(page.Records)))
 	}
 	no.mu.Unlock()
 	if changed {
--- a/internal/node/entry/follow_test.go
+++ b/internal/node/entry/follow_test.go
@@ -16,6 +16,7 @@
 	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/plat/stream"
 	"lycheepick/internal/rule/units"
+	"lycheepick/internal/rule/watch"
 	"lycheepick/internal/state/routes"
 	"lycheepick/internal/state/server"
 )
@@ -26,6 +27,8 @@
 type recordStore struct {
 	stream.Store
 	records []string
+	// late delays the answers to reads.
+	late time.Duration
 }
 
 func (st *recordStore) Newest(context.Context, stream.Name) (stream.Listing, error) {
@@ -48,6 +51,7 @@
 	for _, rec := range st.records[from:] {
 		out.Records = append(out.Records, []byte(rec))
 	}
+	time.Sleep(st.late)
 	return out, nil
 }
 
@@ -243,3 +247,34 @@
 		})
 	}
 }
+
+// TestLateAnswerCountsAsFresh guards against a node, and all that rely on it, that takes its state for
+// as recent as an answer which a connection held back.
+func TestLateAnswerCountsAsFresh(t *testing.T) {
+	const late = 2 * time.Second
+	for _, tt := range []struct {
+		stream watch.Stream
+		read   func(ft *followTest, ctx context.Context) error
+	}{
+		{watch.Servers, func(ft *followTest, ctx context.Context) error {
+			_, err := ft.readServers(ctx)
+			return err
+		}},
+		{watch.Config, func(ft *followTest, ctx context.Context) error {
+			_, err := ft.readConfig(ctx, 0)
+			return err
+		}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ft := newFollowTest(t)
+			ft.store.records = append(ft.store.records, "starts ready")
+			ft.store.late = late
+			if err := tt.read(ft, t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			if have := ft.watch.Age(tt.stream, time.Now()); have < late {
+				t.Errorf("stream %d: have an age of %s after an answer that was on its way for %s", tt.stream, have, late)
+			}
+		})
+	}
+}
