A node's own loss of the store no longer delays the removal of servers that left

Requests reached a server more than drain_ms after its removal had been acknowledged.

Cause: after a loss of the store of a second or more a removal is held back for 2.3 s, since the records of live servers may have expired in an outage. A node can't tell its own loss from an outage unless a peer was served meanwhile; if all nodes are cut off at once, none was. A read that hangs on a connection from before the cut adds up to 1.75 s until the return is noticed.

Fix: the stream itself tells. A record lasts three heartbeats (timing.heartbeat_ms, new), so that a server that wrote later than that has left and not expired. The records that others have written after a removal show for how long the store has been up since, and shorten the wait by that; no single server decides. A peer passes on which removals it holds back, no longer only that it has seen an outage. While the store is lost, a read that hangs for 0.3 s is hedged by another one.

--- a/internal/node/config/entry.go
+++ b/internal/node/config/entry.go
@@ -73,6 +73,13 @@
 	LeaseMS      float64 `json:"lease_ms"`
 	UsageWindowS float64 `json:"usage_window_s"`
 	UsageLateS   float64 `json:"usage_late_s"`
+	// HeartbeatMS is the time between two records of a server, 0 if unknown.
+	HeartbeatMS float64 `json:"heartbeat_ms"`
+}
+
+// Heartbeat returns the time between two records of a server, 0 if unknown.
+func (et EntryTiming) Heartbeat() time.Duration {
+	return time.Duration(et.HeartbeatMS * float64(time.Millisecond))
 }
 
 // Grace returns the time from the stop signal until the platform kills the process.
--- a/internal/node/entry/contact.go
+++ b/internal/node/entry/contact.go
@@ -5,7 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
+
+	"lycheepick/internal/edge/pause"
+	"lycheepick/internal/plat/stream"
+	"lycheepick/internal/rule/fault"
 )
 
 // storeHealth is the reachability of the store, shared by all readers: when one finds that
@@ -53,6 +58,35 @@
 	return sh.transitions
 }
 
+// storeHedgeDelay is the time after which a read of a lost store is hedged: the store may be back
+// while the read hangs on a connection that was cut off.
+const storeHedgeDelay = 300 * time.Millisecond
+
+// hedgeRead asks the store once in storeHedgeDelay until ctx ends, and restarts all reads at the first
+// answer.
+func (no *Node) hedgeRead(ctx context.Context) {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for pause.For(ctx, storeHedgeDelay) {
+		wg.Go(func() {
+			no.mu.Lock()
+			next := no.servers.NextOffset()
+			no.mu.Unlock()
+			_, err := no.platform.Store.Read(ctx, no.platform.ServerStream, next, 0)
+			if err == nil || fault.Is(err, stream.KindExpired) {
+				no.storeHealth.restartReads()
+			}
+		})
+	}
+}
+
+// isLost reports whether the store is lost.
+func (sh *storeHealth) isLost() bool {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return sh.lost
+}
+
 // readStore runs task, which reads the store. The task is cancelled when another reader finds
 // the store lost or back; stale is then true and err nil.
 func (no *Node) readStore(ctx context.Context, what string, task func(context.Context) error) (stale bool, err error) {
@@ -64,11 +98,18 @@
 	sh.nextID++
 	sh.reads[id] = cancel
 	sh.mu.Unlock()
+	var wg conc.WaitGroup
+	if sh.isLost() {
+		wg.Go(func() { no.hedgeRead(ctx) })
+	}
 	err = task(ctx)
+	stale = ctx.Err() != nil
+	cancel()
+	wg.Wait()
 	sh.mu.Lock()
 	delete(sh.reads, id)
 	sh.mu.Unlock()
-	if ctx.Err() != nil {
+	if stale {
 		return true, nil
 	}
 	no.updateStoreHealth(what, err)
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -140,7 +140,7 @@
 	no := &Node{
 		settings: set, platform: pf, log: log, start: now, incarnation: now.UnixNano(),
 		registry: metrics.NewRegistry(), firstByte: metrics.NewHistogram(metrics.NewExpDecaySample(256, 0.015)),
-		servers: server.NewRegistry(), records: newRecords(), watch: watch.New(set.VM.ID), peers: map[units.VMID]*peer{},
+		servers: server.NewRegistry(set.Timing.Heartbeat()), records: newRecords(), watch: watch.New(set.VM.ID), peers: map[units.VMID]*peer{},
 		usageBook: usage.NewCounter(set.Timing.UsageWindow()), clock: clock.New(),
 		offered: map[units.TargetID]pulse.Demand{}, peerWork: map[units.VMID]*peerWork{},
 	}
--- a/internal/node/entry/follow.go
+++ b/internal/node/entry/follow.go
@@ -29,6 +29,8 @@
 	serversReadDelay = 100 * time.Millisecond
 	// storeRetryDelay is the pause after a failed read of the store.
 	storeRetryDelay = 250 * time.Millisecond
+	// restartDelay is the pause before a read that another reader has cancelled is made again.
+	restartDelay = 50 * time.Millisecond
 )
 
 // mustRead reports whether this node has to read a stream of the store itself now.
@@ -58,12 +60,20 @@
 			return err
 		})
 		loaded = loaded || next >= 0
-		if (stale || err != nil) && !pause.For(ctx, storeRetryDelay) {
+		if (stale || err != nil) && !pause.For(ctx, retryDelay(stale)) {
 			return
 		}
 	}
 }
 
+// retryDelay returns the pause after a read that another reader has cancelled, or that failed.
+func retryDelay(cancelled bool) time.Duration {
+	if cancelled {
+		return restartDelay
+	}
+	return storeRetryDelay
+}
+
 func (no *Node) loadConfig(ctx context.Context) (units.Offset, error) {
 	asked := time.Now()
 	list, err := no.platform.Store.Newest(ctx, no.platform.OperatorStream)
@@ -186,7 +196,7 @@
 		})
 		rest := serversReadDelay
 		if stale || err != nil {
-			rest = storeRetryDelay
+			rest = retryDelay(stale)
 		}
 		if !pause.For(ctx, rest) {
 			return
@@ -207,14 +217,15 @@
 		return false, nil // A peer has told of a later era meanwhile.
 	}
 	no.enterEra(now, list.Era, "store")
+	since := no.watch.SyncedAt(watch.Servers)
 	no.setSynced(asked)
 	hold := no.removalHold(now)
 	listed := map[units.VMID]bool{}
 	for _, it := range list.Items {
 		listed[units.VMID(it.Key)] = true
-		no.foldServer(now, it, "store", hold)
+		no.foldServer(now, since, it, "store", hold)
 	}
-	no.servers.Reconcile(now, listed, list.End, hold)
+	no.servers.Reconcile(now, listed, list.End, func(units.VMID) time.Duration { return hold })
 	no.records.reconcile(listed, list.End)
 	no.servers.SkipTo(list.End)
 	no.mu.Unlock()
@@ -240,16 +251,17 @@
 		no.mu.Unlock()
 		return false, nil
 	}
-	now := time.Now()
+	now, since := time.Now(), no.watch.SyncedAt(watch.Servers)
 	hold := no.removalHold(now)
 	changed := false
 	for idx, rec := range page.Records {
 		off := page.From + units.Offset(idx)
 		it, ok := no.platform.DecodeRecord(off, rec)
 		if ok {
-			changed = no.foldServer(now, it, "store", hold) || changed
+			changed = no.foldServer(now, since, it, "store", hold) || changed
 		}
 	}
+	changed = no.servers.ApplyRenewals(now) || changed
 	end := page.From + units.Offset(len(page.Records))
 	no.servers.SkipTo(end)
 	if end >= page.End { // The list is up to date only if the page reaches the end of the stream.
@@ -289,9 +301,9 @@
 	no.relay.SetSynced(no.watch.SyncedAt(watch.Servers))
 }
 
-// foldServer folds one server record and reports whether the list changed. hold is how long a
-// removal is held back. The caller holds mu.
-func (no *Node) foldServer(now time.Time, it stream.Keyed, source string, hold time.Duration) bool {
+// foldServer folds one server record, which was written later than since, and reports whether the
+// list changed. hold is how long a removal is held back. The caller holds mu.
+func (no *Node) foldServer(now, since time.Time, it stream.Keyed, source string, hold time.Duration) bool {
 	id := units.VMID(it.Key)
 	if no.records.isOld(it) {
 		return false
@@ -313,7 +325,8 @@
 		no.log.Warn("server_entry_unreadable", zap.String("server", it.Key), zap.Int64("offset", int64(it.Offset)), zap.Error(err))
 		return false
 	}
-	changed := no.servers.Put(now, it.Offset, id, st)
+	no.servers.Renewed(it.Offset, id)
+	changed := no.servers.Put(now, since, it.Offset, id, st)
 	no.records.put(it, changed)
 	return changed
 }
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -298,6 +299,7 @@
 	if pe := no.peers[re.Node]; pe != nil && re.SinceStoreOutage == 0 {
 		changed = no.servers.PeerServed(now, pe.knownSince, synced)
 	}
+	since := no.watch.SyncedAt(watch.Servers)
 	complete := re.Complete || no.servers.NextOffset() >= re.Servers
 	if complete && now.Sub(synced) < no.watch.Age(watch.Servers, now) {
 		no.servers.NotePeerRecovery(now, re.SinceStoreOutage)
@@ -307,16 +309,22 @@
 	if re.SinceStoreOutage > 0 {
 		hold = no.servers.GraceLeft(now)
 	}
+	grace := func(id units.VMID) time.Duration {
+		if re.Verdicts && !slices.Contains(re.HeldBack, id) { // The peer is certain that the server has left.
+			return 0
+		}
+		return hold
+	}
 	listed, removals := map[units.VMID]bool{}, 0
 	for _, it := range re.Records {
-		changed = no.foldServer(now, it, "peer "+string(re.Node), hold) || changed
+		changed = no.foldServer(now, since, it, "peer "+string(re.Node), grace(units.VMID(it.Key))) || changed
 		listed[units.VMID(it.Key)] = true
 		if len(it.Value) == 0 {
 			removals++
 		}
 	}
 	if re.Snapshot {
-		changed = no.servers.Reconcile(now, listed, re.Servers, hold) || changed
+		changed = no.servers.Reconcile(now, listed, re.Servers, grace) || changed
 		no.records.reconcile(listed, re.Servers)
 	}
 	if len(re.Records) > 0 || re.Snapshot {
@@ -447,6 +455,7 @@
 	defer no.mu.Unlock()
 	// The list may have advanced since the report was built.
 	out.Servers, out.StoreEra, out.Complete = no.servers.NextOffset(), no.serversEra, true
+	out.Verdicts, out.HeldBack = true, no.servers.HeldBackIDs()
 	if rq.StoreEra < no.serversEra {
 		out.Records, out.Snapshot = no.records.all(), true
 		return
--- a/internal/node/entry/reachnet_test.go
+++ b/internal/node/entry/reachnet_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,6 +51,14 @@
 	streams map[stream.Name][]stream.Keyed
 	// acked is when each version of the configuration was acknowledged.
 	acked map[units.Version]time.Time
+	// downTo is the end of a time in which the store answers nobody.
+	downTo time.Time
+}
+
+func (st *reachStore) isDown() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return time.Now().Before(st.downTo)
 }
 
 func (st *reachStore) put(na stream.Name, key string, value []byte) {
@@ -81,13 +90,17 @@
 	proc *Node
 	stop context.CancelFunc
 	dead bool
-	// since is when the node started or was last disturbed.
-	since    time.Time
-	frozenTo time.Time
+	// since is when the node started or was last disturbed, and startedAt when it started within
+	// the case, zero before.
+	since     time.Time
+	startedAt time.Time
+	frozenTo  time.Time
 	// lostBefore drops the answers to reads of a stream that began before that time.
 	lostBefore map[stream.Name]time.Time
 	// silentTo is the end of a time in which the store doesn't answer this node.
 	silentTo time.Time
+	// lateBy delays the answers of the store to this node.
+	lateBy time.Duration
 	// appliedAt is when each version came in force.
 	appliedAt map[units.Version]time.Time
 	// configReads counts the reads of the operators' stream.
@@ -121,6 +134,14 @@
 	return now.Before(no.silentTo) || began.Before(lost) && !now.Before(lost)
 }
 
+// awaitAnswer waits while an answer of the store is on its way.
+func (no *reachNode) awaitAnswer(ctx context.Context) {
+	no.mu.Lock()
+	late := no.lateBy
+	no.mu.Unlock()
+	pause.For(ctx, late)
+}
+
 // hold waits while the node is frozen.
 func (no *reachNode) hold(ctx context.Context) {
 	for time.Now().Before(no.thawsAt()) && pause.For(ctx, time.Until(no.thawsAt())) {
@@ -201,6 +222,10 @@
 		size *= storeExpansion
 		no.configReads.Add(1)
 	}
+	no.awaitAnswer(ctx)
+	if no.fl.store.isDown() {
+		return out, fault.New(op, stream.KindUnavailable, "down")
+	}
 	if no.isSilenced(na, began) {
 		<-ctx.Done()
 		return out, fault.New(op, stream.KindUnanswered, "silent")
@@ -277,6 +302,7 @@
 	addresses []stream.Keyed
 	rnd       *rand.Rand
 	decode    time.Duration
+	servers   []*reachServer
 	wg        conc.WaitGroup
 }
 
@@ -299,11 +325,7 @@
 	for num := range count {
 		fl.start(ctx, num)
 	}
-	fl.wg.Go(func() { // Servers renew their records.
-		for num := 0; pause.For(ctx, 50*time.Millisecond); num++ {
-			fl.store.put(reachServers, fmt.Sprintf("s-%d", num%20), []byte(fmt.Sprintf("1 %d ready", num)))
-		}
-	})
+	fl.startServers(ctx)
 	return fl
 }
 
@@ -312,17 +334,18 @@
 	no := fl.nodes[num]
 	nd := New(&config.EntrySettings{
 		VM: config.EntryVM{ID: no.id, Zone: "z1"}, Listen: config.EntryListen{Peers: string(no.id)},
-		Timing: config.EntryTiming{GraceS: 8, LeaseMS: 1000, UsageWindowS: 1, UsageLateS: 10},
+		Timing: reachTiming(),
 	}, Platform{
 		Store: no, OperatorStream: reachOperators, ConfigKey: "config", ServerStream: reachServers,
 		DecodeRecord: splitRecord, EncodeRecord: func(string, []byte) []byte { return nil },
 		DecodeServer: decodeStatus, DecodeConfig: no.decodeConfig,
 		Handler: func(func() *routes.Config, *relay.Relay) (door.Handler, ForwardHandler) { return nil, nil },
-	}, zap.NewNop())
+	}, reachLog(no.id))
 	nd.peerClient = no
 	ctx, stop := context.WithCancel(ctx)
 	no.mu.Lock()
 	no.lostBefore, no.appliedAt, no.since, no.dead = map[stream.Name]time.Time{}, map[units.Version]time.Time{}, time.Now(), false
+	no.startedAt = no.since
 	no.proc, no.stop = nd, stop
 	no.mu.Unlock()
 	for _, loop := range []func(context.Context){nd.followConfig, nd.followServers, nd.exchangeLoop, nd.fetchConfigs, nd.tick} {
@@ -396,6 +419,14 @@
 	return func(no *reachNode) { no.disturb(time.Now(), func() { no.lostBefore[na] = time.Now() }) }
 }
 
+// delay makes the answers of the store late for a node.
+func delay(by, du time.Duration) func(*reachNode) {
+	return func(no *reachNode) {
+		no.disturb(time.Now().Add(du), func() { no.lateBy = by })
+		time.AfterFunc(du, func() { no.disturb(time.Now(), func() { no.lateBy = 0 }) })
+	}
+}
+
 // silence makes the store silent for a node.
 func silence(du time.Duration) func(*reachNode) {
 	return func(no *reachNode) {
@@ -403,3 +434,11 @@
 		no.disturb(until, func() { no.silentTo = until })
 	}
 }
+
+// reachLog returns the log of a node: none, unless REACH_LOG names the node, or is "all".
+func reachLog(id units.VMID) *zap.Logger {
+	if want := os.Getenv("REACH_LOG"); want != string(id) && want != "all" {
+		return zap.NewNop()
+	}
+	return zap.Must(zap.NewDevelopment()).Named(string(id))
+}
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -157,6 +157,10 @@
 	// have been removed.
 	Complete bool `json:"whole,omitempty"`
 	Snapshot bool `json:"listing,omitempty"`
+	// HeldBack are the servers whose removals the node holds back, as their records may only have
+	// expired. Verdicts is set by nodes that send it.
+	HeldBack []units.VMID `json:"held_back,omitempty"`
+	Verdicts bool         `json:"verdicts,omitempty"`
 	// Crashes is what the caller lacks of crashes.
 	Crashes crash.Report `json:"crashes,omitzero"`
 }
--- a/internal/state/server/server.go
+++ b/internal/state/server/server.go
@@ -62,12 +62,21 @@
 	// older copy, which may still have it.
 	restored bool
 	// removeAt is when a removal that was held back takes effect; zero if there is none.
-	removeAt  time.Time
+	removeAt time.Time
+	// heldAt is when a removal that was held back was read.
+	heldAt    time.Time
 	changedAt time.Time
+	// writtenSince is a time after which the latest record was written.
+	writtenSince time.Time
+	// renewed counts the records that other servers have written since a removal that is held
+	// back.
+	renewed map[units.VMID]int
 }
 
 // Registry is the list of backend servers. It is not safe for concurrent use.
 type Registry struct {
+	// heartbeat is the time between two records of a server, 0 if unknown.
+	heartbeat  time.Duration
 	nextOffset units.Offset
 	entries    map[units.VMID]*entry
 	// recoveredAt is when the latest outage of the store ended.
@@ -83,8 +92,15 @@
 	servedFrom, servedTo time.Time
 }
 
-// NewRegistry returns a registry without servers, at offset 0.
-func NewRegistry() *Registry { return &Registry{entries: map[units.VMID]*entry{}} }
+// expiryHeartbeats is the number of heartbeats without a record after which the store removes a
+// server.
+const expiryHeartbeats = 3
+
+// NewRegistry returns a registry without servers, at offset 0. heartbeat is the time between two
+// records of a server, 0 if unknown.
+func NewRegistry(heartbeat time.Duration) *Registry {
+	return &Registry{heartbeat: heartbeat, entries: map[units.VMID]*entry{}}
+}
 
 // NextOffset returns the offset to read from, as set by SkipTo.
 func (rg *Registry) NextOffset() units.Offset { return rg.nextOffset }
@@ -98,7 +114,7 @@
 	rg.nextOffset = 0
 	rg.recoveredAt, rg.outageStart = now, now
 	for _, st := range rg.entries {
-		st.offset, st.restored = -1, st.removed
+		st.offset, st.restored, st.writtenSince = -1, st.removed, time.Time{}
 	}
 }
 
@@ -198,12 +214,13 @@
 	}
 }
 
-// Put folds a status record read at off. It returns true if the list or the status of a
-// server changed. Records with an older offset, incarnation or sequence number are ignored.
-func (rg *Registry) Put(now time.Time, off units.Offset, id units.VMID, in Status) bool {
+// Put folds a status record read at off, which was written later than since. It returns true if the
+// list or the status of a server changed. Records with an older offset, incarnation or sequence
+// number are ignored.
+func (rg *Registry) Put(now, since time.Time, off units.Offset, id units.VMID, in Status) bool {
 	st := rg.entries[id]
 	if st == nil {
-		rg.entries[id] = &entry{Server: Server{ID: id, Status: in, ReadAt: now}, offset: off, changedAt: now}
+		rg.entries[id] = &entry{Server: Server{ID: id, Status: in, ReadAt: now}, offset: off, changedAt: now, writtenSince: since}
 		return true
 	}
 	if off <= st.offset {
@@ -217,8 +234,8 @@
 	if !in.startsIncarnationAfter(&before, removed) && st.Draining {
 		in.Draining = true // Draining is final for this incarnation.
 	}
-	st.Status, st.ReadAt = in, now
-	st.removed, st.restored, st.removeAt = false, false, time.Time{}
+	st.Status, st.ReadAt, st.writtenSince = in, now, since
+	st.removed, st.restored, st.removeAt, st.renewed = false, false, time.Time{}, nil
 	before.Sequence = in.Sequence
 	if before == in && !removed {
 		return false
@@ -261,14 +278,81 @@
 		return false
 	}
 	st.offset = off
-	if !st.Draining && hold > 0 {
-		st.removeAt = now.Add(hold)
+	if hold > 0 && !rg.hasLeft(now, st) {
+		st.holdBack(now, hold)
 		return false
 	}
 	st.removed, st.changedAt = true, now
 	return true
 }
 
+// holdBack lets a removal take effect later.
+func (st *entry) holdBack(now time.Time, hold time.Duration) {
+	st.heldAt, st.removeAt, st.renewed = now, now.Add(hold), map[units.VMID]int{}
+}
+
+// hasLeft reports whether a server whose removal was read can't have expired: it drains, or its
+// last record is more recent than that.
+func (rg *Registry) hasLeft(now time.Time, st *entry) bool {
+	return st.Draining || !st.writtenSince.IsZero() && now.Sub(st.writtenSince) < expiryHeartbeats*rg.heartbeat
+}
+
+// Renewed counts a record that a server has written after the removals that are held back.
+func (rg *Registry) Renewed(off units.Offset, id units.VMID) {
+	for _, st := range rg.entries {
+		if !st.removeAt.IsZero() && !st.removed && off > st.offset && st.renewed != nil {
+			st.renewed[id]++
+		}
+	}
+}
+
+// ApplyRenewals shortens the time for which removals are held back by the time for which the store
+// has been up since, as the records of other servers show. It returns true if the list changed.
+func (rg *Registry) ApplyRenewals(now time.Time) bool {
+	if rg.heartbeat <= 0 {
+		return false
+	}
+	live := 0
+	for _, st := range rg.entries {
+		if !st.removed && st.removeAt.IsZero() {
+			live++
+		}
+	}
+	changed := false
+	for _, st := range rg.entries {
+		if st.removed || st.removeAt.IsZero() || live == 0 {
+			continue
+		}
+		if latest := st.heldAt.Add(recoveryGrace - rg.upSince(st, live)); latest.Before(st.removeAt) {
+			st.removeAt = latest
+		}
+		if !now.Before(st.removeAt) {
+			st.removed, st.changedAt, changed = true, now, true
+		}
+	}
+	return changed
+}
+
+// upSince returns for how long the store has been up at least since a removal that is held back.
+// Servers renew their records once a heartbeat, but for one right after an outage.
+func (rg *Registry) upSince(st *entry, live int) time.Duration {
+	count := 0
+	for _, num := range st.renewed {
+		count += min(num, 2+int(recoveryGrace/rg.heartbeat)) // No single server decides.
+	}
+	return max(0, time.Duration(float64(count)/float64(live)*float64(rg.heartbeat))-rg.heartbeat)
+}
+
+// HeldBackIDs returns the servers whose removals are held back.
+func (rg *Registry) HeldBackIDs() (out []units.VMID) {
+	for id, st := range rg.entries {
+		if !st.removed && !st.removeAt.IsZero() {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // HeldBack returns how much longer the removal of a server is held back, 0 if it isn't.
 func (rg *Registry) HeldBack(now time.Time, id units.VMID) time.Duration {
 	if st := rg.entries[id]; st != nil && !st.removed && !st.removeAt.IsZero() {
@@ -293,17 +377,17 @@
 }
 
 // Reconcile folds a listing of all servers as of offset end: servers that aren't in it are
-// removed, or held back as in Remove, unless a later record of them was read. It returns true if
-// the list changed.
-func (rg *Registry) Reconcile(now time.Time, listed map[units.VMID]bool, end units.Offset, hold time.Duration) bool {
+// removed, or held back for what hold returns as in Remove, unless a later record of them was read.
+// It returns true if the list changed.
+func (rg *Registry) Reconcile(now time.Time, listed map[units.VMID]bool, end units.Offset, hold func(units.VMID) time.Duration) bool {
 	changed := false
 	for id, st := range rg.entries {
 		if listed[id] || st.removed || st.offset >= end {
 			continue
 		}
 		st.offset = end - 1 // An older record than the listing must not bring the server back.
-		if !st.Draining && hold > 0 {
-			st.removeAt = now.Add(hold)
+		if grace := hold(id); grace > 0 && !rg.hasLeft(now, st) {
+			st.holdBack(now, grace)
 			continue
 		}
 		st.removed, st.changedAt, changed = true, now, true
--- a/internal/state/server/server_test.go
+++ b/internal/state/server/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,12 +18,12 @@
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
 func Example() {
-	rg := server.NewRegistry()
-	rg.Put(at(0), 0, "i-1", server.Status{Service: "model", Sequence: 1})
-	rg.Put(at(10), 1, "i-1", server.Status{Service: "model", Sequence: 2, Draining: true})
-	rg.Put(at(20), 2, "i-1", server.Status{Service: "model", Sequence: 3})
+	rg := server.NewRegistry(0)
+	rg.Put(at(0), time.Time{}, 0, "i-1", server.Status{Service: "model", Sequence: 1})
+	rg.Put(at(10), time.Time{}, 1, "i-1", server.Status{Service: "model", Sequence: 2, Draining: true})
+	rg.Put(at(20), time.Time{}, 2, "i-1", server.Status{Service: "model", Sequence: 3})
 	fmt.Println("still draining:", rg.List()[0].Draining)
-	rg.Put(at(30), 3, "i-1", server.Status{Service: "model", StartUnixMS: 7, Sequence: 1})
+	rg.Put(at(30), time.Time{}, 3, "i-1", server.Status{Service: "model", StartUnixMS: 7, Sequence: 1})
 	fmt.Println("restarted, draining:", rg.List()[0].Draining)
 	// Output:
 	// still draining: true
@@ -59,7 +60,7 @@
 			rg.StoreDown(at(10))
 			rg.StoreUp(at(4000))
 			remove(rg, 4010, 1)
-			rg.Put(at(5000), 2, "i-1", server.Status{Service: "model", Sequence: 6})
+			rg.Put(at(5000), time.Time{}, 2, "i-1", server.Status{Service: "model", Sequence: 6})
 			rg.Tick(at(9000))
 		}, 1},
 		{"a removal after an outage reported by a peer is held back", func(rg *server.Registry) {
@@ -99,23 +100,23 @@
 		}, 0},
 		{"a record with an older offset is ignored", func(rg *server.Registry) {
 			remove(rg, 10, 5)
-			rg.Put(at(20), 3, "i-1", ready)
+			rg.Put(at(20), time.Time{}, 3, "i-1", ready)
 		}, 0},
 		{"a record of an earlier incarnation is ignored", func(rg *server.Registry) {
-			rg.Put(at(10), 1, "i-1", server.Status{Service: "model", StartUnixMS: 9, Sequence: 1, Draining: true})
-			rg.Put(at(20), 2, "i-1", server.Status{Service: "model", StartUnixMS: 8, Sequence: 50})
+			rg.Put(at(10), time.Time{}, 1, "i-1", server.Status{Service: "model", StartUnixMS: 9, Sequence: 1, Draining: true})
+			rg.Put(at(20), time.Time{}, 2, "i-1", server.Status{Service: "model", StartUnixMS: 8, Sequence: 50})
 			if list := rg.List(); !list[0].Draining {
 				panic("a record of an earlier incarnation cancelled draining")
 			}
 		}, 1},
 		{"without a start time, a sequence number that restarts is a new incarnation", func(rg *server.Registry) {
 			remove(rg, 10, 1)
-			rg.Put(at(20), 2, "i-1", server.Status{Service: "model", Sequence: 1})
+			rg.Put(at(20), time.Time{}, 2, "i-1", server.Status{Service: "model", Sequence: 1})
 		}, 1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			rg := server.NewRegistry()
-			rg.Put(at(0), 0, "i-1", ready)
+			rg := server.NewRegistry(0)
+			rg.Put(at(0), time.Time{}, 0, "i-1", ready)
 			tt.setup(rg)
 			if have := len(rg.List()); have != tt.want {
 				t.Errorf("servers: have %d, want %d", have, tt.want)
@@ -128,7 +129,7 @@
 // within an incarnation in which it was draining.
 func TestLeavingStaysLeaving(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		rg := server.NewRegistry()
+		rg := server.NewRegistry(0)
 		now, off := 0, units.Offset(0)
 		startMS, sequence := int64(1), int64(0)
 		drained := map[int64]bool{}
@@ -138,16 +139,16 @@
 			sequence++
 			switch rapid.IntRange(0, 5).Draw(rt, "step") {
 			case 0, 1:
-				rg.Put(at(now), off, "i-1", server.Status{StartUnixMS: startMS, Sequence: sequence})
+				rg.Put(at(now), time.Time{}, off, "i-1", server.Status{StartUnixMS: startMS, Sequence: sequence})
 			case 2:
-				rg.Put(at(now), off, "i-1", server.Status{StartUnixMS: startMS, Sequence: sequence, Draining: true})
+				rg.Put(at(now), time.Time{}, off, "i-1", server.Status{StartUnixMS: startMS, Sequence: sequence, Draining: true})
 				drained[startMS] = true
 			case 3:
 				startMS++
 				sequence = 0
 			case 4: // Another writer repeats an old record.
 				old := rapid.Int64Range(1, startMS).Draw(rt, "old")
-				rg.Put(at(now), off, "i-1", server.Status{StartUnixMS: old, Sequence: rapid.Int64Range(0, max(sequence-1, 0)).Draw(rt, "old sequence")})
+				rg.Put(at(now), time.Time{}, off, "i-1", server.Status{StartUnixMS: old, Sequence: rapid.Int64Range(0, max(sequence-1, 0)).Draw(rt, "old sequence")})
 			case 5:
 				rg.Tick(at(now))
 			}
@@ -159,3 +160,64 @@
 		}
 	})
 }
+
+// TestOwnLossIsNoOutage guards against a node that holds a removal back since it lost the store, although
+// the records that it reads then show that servers did not.
+func TestOwnLossIsNoOutage(t *testing.T) {
+	const heartbeat = time.Second
+	ready := func(seq int64) server.Status { return server.Status{Service: "model", StartUnixMS: 7, Sequence: seq} }
+	for _, tt := range []struct {
+		name string
+		// lost is the length of the loss, and read folds the page after it. Offsets begin at 10.
+		lost int
+		read func(rg *server.Registry, now time.Time)
+		want bool
+	}{
+		{"shorter than a record lasts", 2500, func(rg *server.Registry, now time.Time) { rg.Remove(now, 10, "i-1", rg.GraceLeft(now)) }, false},
+		{"it may have expired", 3500, func(rg *server.Registry, now time.Time) { rg.Remove(now, 10, "i-1", rg.GraceLeft(now)) }, true},
+		{"others have renewed their records since", 5000, func(rg *server.Registry, now time.Time) {
+			rg.Remove(now, 10, "i-1", rg.GraceLeft(now))
+			renew(rg, now, 11, 4, "i-2", "i-3", "i-4")
+		}, false},
+		{"others have renewed them before", 5000, func(rg *server.Registry, now time.Time) {
+			renew(rg, now, 10, 4, "i-2", "i-3", "i-4")
+			rg.Remove(now, 30, "i-1", rg.GraceLeft(now))
+		}, true},
+		{"others have written one each, as after an outage", 5000, func(rg *server.Registry, now time.Time) {
+			rg.Remove(now, 10, "i-1", rg.GraceLeft(now))
+			renew(rg, now, 11, 1, "i-2", "i-3", "i-4")
+		}, true},
+		{"one writes without end", 5000, func(rg *server.Registry, now time.Time) {
+			rg.Remove(now, 10, "i-1", rg.GraceLeft(now))
+			renew(rg, now, 11, 100, "i-2")
+		}, true},
+		{"the store has come back from a copy", 1500, func(rg *server.Registry, now time.Time) {
+			rg.Restart(now)
+			rg.Remove(now, 10, "i-1", rg.GraceLeft(now))
+		}, true},
+	} {
+		rg := server.NewRegistry(heartbeat)
+		for num, id := range []units.VMID{"i-1", "i-2", "i-3", "i-4"} {
+			rg.Put(at(0), at(-100), units.Offset(num), id, ready(1))
+		}
+		rg.StoreDown(at(100))
+		now := at(100 + tt.lost)
+		rg.StoreUp(now)
+		tt.read(rg, now)
+		rg.ApplyRenewals(now)
+		if have := slices.ContainsFunc(rg.List(), func(sv server.Server) bool { return sv.ID == "i-1" }); have != tt.want {
+			t.Errorf("%s: have %t, want %t for the server in the list", tt.name, have, tt.want)
+		}
+	}
+}
+
+// renew folds count records of each server from an offset on.
+func renew(rg *server.Registry, now time.Time, off units.Offset, count int, ids ...units.VMID) {
+	for num := range count {
+		for _, id := range ids {
+			rg.Renewed(off, id)
+			rg.Put(now, at(0), off, id, server.Status{Service: "model", StartUnixMS: 7, Sequence: int64(2 + num)})
+			off++
+		}
+	}
+}
