A node that knows of a newer configuration says so instead of 404 or 401

A caller whose route or key had just been added got 404 or 401 from a node that knew, by a peer's report, that its configuration was not the newest; callers don't come back after these. A request of a node that reaches no server was refused for good if the node that it was offered to had another version, though others could serve it.

Cause: the version in force was taken for the newest wherever a request is matched, also by nodes that had heard otherwise; an offer to another node carried no version, and that node looked at its configuration only after it had taken the request.

Fix: while a newer version is known, an unknown route or key is answered 503 with Retry-After, for ten seconds at most. An offer and its refusal carry the version; the peer checks the request before it takes it, the next peer is asked, and whoever is behind fetches the newer one.

--- a/internal/edge/relay/detour.go
+++ b/internal/edge/relay/detour.go
@@ -29,7 +29,9 @@
 
 // Forward is a request that goes through another node.
 type Forward struct {
-	ID      units.RequestID
+	ID units.RequestID
+	// Config is the version of the configuration by which the service was chosen.
+	Config  units.Version
 	Service units.TargetID
 	// Header and Body are the client's request as it was read.
 	Header, Body      []byte
@@ -298,7 +300,7 @@
 	header, body := via.Raw()
 	began := time.Now()
 	rp, err := ru.rl.Detours.Forward(ctx, &Forward{
-		ID: rq.ID, Service: rq.Service, Header: header, Body: body, Arrived: rq.Arrived, Deadline: rq.Deadline,
+		ID: rq.ID, Config: rq.Config, Service: rq.Service, Header: header, Body: body, Arrived: rq.Arrived, Deadline: rq.Deadline,
 		Attempts: attempts, LastEvent: ru.lastEvent, Version: ru.ask.Version, Counted: ru.counted,
 	})
 	if err != nil {
--- a/internal/node/entry/config_test.go
+++ b/internal/node/entry/config_test.go
@@ -18,7 +18,6 @@
 	"go.uber.org/zap"
 
 	"lycheepick/internal/edge/door"
-	"lycheepick/internal/edge/relay"
 	"lycheepick/internal/node/config"
 	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/plat/stream"
@@ -129,7 +128,7 @@
 				return out, json.Unmarshal(raw, &out)
 			},
 			DecodeServer: func([]byte) (server.Status, error) { return server.Status{}, nil },
-			Handler:      func(func() *routes.Config, *relay.Relay) (door.Handler, ForwardHandler) { return nil, nil },
+			Handler:      func(View) (door.Handler, ForwardHandler) { return nil, nil },
 		}, zap.NewNop())
 		nodes[num].applyConfig(encodedConfig(1, 50), "store")
 	}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -81,9 +81,17 @@
 	// ReportsUsage and OrdersServers enable the duties of the leader.
 	ReportsUsage  bool
 	OrdersServers bool
-	// Handler returns the handlers of callers' requests, and of those that peers forward. config
-	// returns nil until a configuration is in force.
-	Handler func(config func() *routes.Config, rl *relay.Relay) (door.Handler, ForwardHandler)
+	// Handler returns the handlers of callers' requests, and of those that peers forward.
+	Handler func(vi View) (door.Handler, ForwardHandler)
+}
+
+// View is what handlers see of a node.
+type View struct {
+	Relay *relay.Relay
+	// Config returns the configuration in force, nil before the first one.
+	Config func() *routes.Config
+	// Behind reports whether the node knows that there is a newer configuration.
+	Behind func() bool
 }
 
 // Node is one entry node.
@@ -156,12 +164,7 @@
 	no.relay.ObserveFirstByte = func(du time.Duration) { no.firstByte.Update(du.Microseconds()) }
 	no.forwards = &forwards{no: no, nodes: detour.NewNodes()}
 	no.relay.Detours = no.forwards
-	handler, forwarded := pf.Handler(func() *routes.Config {
-		if fo := no.config.Load(); fo != nil {
-			return fo.Config
-		}
-		return nil
-	}, no.relay)
+	handler, forwarded := pf.Handler(View{Relay: no.relay, Config: no.inForce, Behind: no.isConfigBehind})
 	no.forwards.handler = forwarded
 	no.door = &door.Server{Handler: handler, Limits: no.limits}
 	no.leader = leaderState{
@@ -173,6 +176,14 @@
 	return no
 }
 
+// inForce returns the configuration in force, nil before the first one.
+func (no *Node) inForce() *routes.Config {
+	if fo := no.config.Load(); fo != nil {
+		return fo.Config
+	}
+	return nil
+}
+
 // uptime returns the monotonic time since the start of the node. It does not advance while
 // the VM is suspended.
 func (no *Node) uptime() time.Duration { return time.Since(no.start) }
--- a/internal/node/entry/fetch.go
+++ b/internal/node/entry/fetch.go
@@ -54,6 +54,13 @@
 	}
 }
 
+// hearConfig records that a peer has a version of the configuration.
+func (no *Node) hearConfig(version units.Version) {
+	if version > no.config.Load().version() {
+		no.fetch.hear(time.Now(), version)
+	}
+}
+
 // caughtUp returns the time since a peer first reported a version that comes in force now, 0 if
 // none has.
 func (cf *configFetch) caughtUp(now time.Time, version units.Version) time.Duration {
@@ -72,6 +79,15 @@
 	return cf.heard, now.Sub(cf.heardAt)
 }
 
+// maxBehind is the time after which a version that no peer sends no longer counts.
+const maxBehind = 10 * time.Second
+
+// isConfigBehind reports whether a peer has a newer configuration than this node.
+func (no *Node) isConfigBehind() bool {
+	newest, since := no.fetch.behindFor(time.Now())
+	return newest > no.config.Load().version() && since < maxBehind
+}
+
 // fetchConfigs fetches each newer configuration that peers report until ctx ends.
 func (no *Node) fetchConfigs(ctx context.Context) {
 	for {
--- a/internal/node/entry/follow_test.go
+++ b/internal/node/entry/follow_test.go
@@ -11,13 +11,11 @@
 	"go.uber.org/zap"
 
 	"lycheepick/internal/edge/door"
-	"lycheepick/internal/edge/relay"
 	"lycheepick/internal/node/config"
 	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/plat/stream"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/rule/watch"
-	"lycheepick/internal/state/routes"
 	"lycheepick/internal/state/server"
 )
 
@@ -73,7 +71,7 @@
 		DecodeServer: func([]byte) (server.Status, error) {
 			return server.Status{Service: "app", Zone: "z1", StartUnixMS: 1, Slots: 8}, nil
 		},
-		Handler: func(func() *routes.Config, *relay.Relay) (door.Handler, ForwardHandler) { return nil, nil },
+		Handler: func(View) (door.Handler, ForwardHandler) { return nil, nil },
 	}, zap.NewNop())
 	ft.exchange("peer-1", 0, nil)
 	ft.exchange("peer-2", 0, nil)
--- a/internal/node/entry/forward.go
+++ b/internal/node/entry/forward.go
@@ -39,9 +39,12 @@
 	unusableRetryAfter = 500 * time.Millisecond
 )
 
-// ForwardHandler handles a request that a peer forwards and writes the response to sink. It
-// returns the final state.
-type ForwardHandler func(ctx context.Context, fw *relay.Forward, sink relay.ServedSink) answer.State
+// ForwardHandler returns a function that serves a request which a peer forwards, or an error if this
+// node's configuration doesn't allow the request.
+type ForwardHandler func(fw *relay.Forward) (ServeForwarded, error)
+
+// ServeForwarded serves a request and writes the response to sink. It returns the final state.
+type ServeForwarded func(ctx context.Context, sink relay.ServedSink) answer.State
 
 // forwards sends requests through peers, and handles those that peers send through this node.
 type forwards struct {
@@ -104,7 +107,10 @@
 	})
 	fs, declined, err := fo.offer(ctx, cancel, to, fw)
 	if callerCtx.Err() == nil { // Otherwise it was not the peer that ended it.
-		fo.noteOffer(to.Node, fw.Service, declined, err)
+		fo.noteOffer(to.Node, fw.Service, fw.Config, declined, err)
+	}
+	if declined != nil {
+		fo.no.hearConfig(declined.Config)
 	}
 	if err != nil {
 		done()
@@ -130,7 +136,7 @@
 }
 
 // noteOffer records whether a peer took a request. One that declined names peers that do.
-func (fo *forwards) noteOffer(id units.VMID, service units.TargetID, declined *pulse.Refusal, err error) {
+func (fo *forwards) noteOffer(id units.VMID, service units.TargetID, config units.Version, declined *pulse.Refusal, err error) {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	now := time.Now()
@@ -139,6 +145,7 @@
 		fo.nodes.Took(now, id, service)
 	case declined == nil:
 		fo.nodes.Silent(now, id, service)
+	case declined.Config > 0 && declined.Config != config: // That tells of this request alone.
 	default:
 		fo.nodes.Declined(now, id, service)
 		for _, hint := range declined.Try {
@@ -160,7 +167,7 @@
 	}
 	now := time.Now()
 	err = fs.SendJSON(pulse.FrameOffer, &pulse.Offer{
-		ID: fw.ID, Service: fw.Service, Header: fw.Header, BodyBytes: len(fw.Body), Waited: now.Sub(fw.Arrived), Left: fw.Deadline.Sub(now),
+		ID: fw.ID, Config: fw.Config, Service: fw.Service, Header: fw.Header, BodyBytes: len(fw.Body), Waited: now.Sub(fw.Arrived), Left: fw.Deadline.Sub(now),
 		Attempts: fw.Attempts, LastEvent: fw.LastEvent, Version: fw.Version, Counted: fw.Counted,
 	})
 	if err == nil {
@@ -250,12 +257,10 @@
 	defer fs.Close()
 	tm := time.AfterFunc(offerTimeout, fs.Close)
 	defer tm.Stop()
-	fw, hints, release, err := no.forwards.take(fs)
+	serve, declined, release := no.forwards.take(fs)
 	defer release()
-	if err != nil {
-		_ = fs.SendJSON(pulse.FrameRefusal, &pulse.Refusal{
-			Status: fasthttp.StatusServiceUnavailable, Reason: err.Error(), RetryAfter: unusableRetryAfter, NotRun: true, Try: hints,
-		})
+	if declined != nil {
+		_ = fs.SendJSON(pulse.FrameRefusal, declined)
 		return
 	}
 	if fs.Send(pulse.FrameAccept, nil) != nil {
@@ -265,8 +270,7 @@
 		return
 	}
 	sink := &forwardSink{fs: fs}
-	state := no.forwards.handler(ctx, fw, sink)
-	sink.finish(state)
+	sink.finish(serve(ctx, sink))
 }
 
 // wait returns when no request of a peer is in progress, or when ctx ends.
@@ -275,35 +279,47 @@
 	}
 }
 
-// take reads an offered request, unless this node can't take it: then it returns peers that may.
-func (fo *forwards) take(fs *pulse.FrameStream) (fw *relay.Forward, hints []units.VMID, release func(), err error) {
-	const op = "entry.take"
+// take reads an offered request and returns how to serve it, or why this node doesn't take it.
+func (fo *forwards) take(fs *pulse.FrameStream) (serve ServeForwarded, declined *pulse.Refusal, release func()) {
 	size := int64(0)
 	release = func() {
 		fo.inProgress.Add(-1)
 		fo.bytes.Add(-size)
 	}
 	count := fo.inProgress.Add(1)
+	decline := func(err error, hints ...units.VMID) (ServeForwarded, *pulse.Refusal, func()) {
+		return nil, &pulse.Refusal{
+			Status: fasthttp.StatusServiceUnavailable, Reason: err.Error(), RetryAfter: unusableRetryAfter, NotRun: true, Try: hints,
+			Config: fo.no.config.Load().version(),
+		}, release
+	}
 	fr, err := fs.Receive()
 	if err != nil {
-		return nil, nil, release, fault.Wrap(op, KindForward, err)
+		return decline(err)
 	}
 	var of pulse.Offer
 	if err := fr.Decode(pulse.FrameOffer, &of); err != nil {
-		return nil, nil, release, fault.Wrap(op, KindForward, err)
+		return decline(err)
 	}
 	size = int64(max(0, of.BodyBytes))
 	total := fo.bytes.Add(size)
-	err = fo.admits(&of, count, total)
-	if err != nil {
-		return nil, fo.hints(of.Service), release, err
+	fo.no.hearConfig(of.Config)
+	if err := fo.admits(&of, count, total); err != nil {
+		return decline(err, fo.hints(of.Service)...)
 	}
 	body, err := receiveBody(fs, of.BodyBytes)
+	if err != nil {
+		return decline(err)
+	}
 	now := time.Now()
-	return &relay.Forward{
-		ID: of.ID, Service: of.Service, Header: of.Header, Body: body, Arrived: now.Add(-of.Waited), Deadline: now.Add(of.Left),
+	serve, err = fo.handler(&relay.Forward{
+		ID: of.ID, Config: of.Config, Service: of.Service, Header: of.Header, Body: body, Arrived: now.Add(-of.Waited), Deadline: now.Add(of.Left),
 		Attempts: of.Attempts, LastEvent: of.LastEvent, Version: of.Version, Counted: of.Counted,
-	}, nil, release, err
+	})
+	if err != nil {
+		return decline(err)
+	}
+	return serve, nil, release
 }
 
 // admits returns an error if this node can't take a request. count and total are the requests of
--- a/internal/node/entry/forward_test.go
+++ b/internal/node/entry/forward_test.go
@@ -139,8 +139,10 @@
 // newForwardNode returns a node that takes requests of peers.
 func newForwardNode() *Node {
 	no := New(&config.EntrySettings{VM: config.EntryVM{ID: "node-1", Zone: "z1"}}, Platform{
-		Handler: func(func() *routes.Config, *relay.Relay) (door.Handler, ForwardHandler) {
-			return nil, func(context.Context, *relay.Forward, relay.ServedSink) answer.State { return answer.NotRun }
+		Handler: func(View) (door.Handler, ForwardHandler) {
+			return nil, func(*relay.Forward) (ServeForwarded, error) {
+				return func(context.Context, relay.ServedSink) answer.State { return answer.NotRun }, nil
+			}
 		},
 	}, zap.NewNop())
 	no.config.Store(newActiveConfig(&routes.Config{Version: 1}, nil))
@@ -171,3 +173,31 @@
 		})
 	}
 }
+
+// TestOtherConfigurationIsNoReasonToPassOver guards against requests that no peer takes, since one that
+// has another configuration declined one of them, and against a newer version that is not fetched.
+func TestOtherConfigurationIsNoReasonToPassOver(t *testing.T) {
+	declines := true
+	no := newForwardTest(t, func(_ context.Context, fs *pulse.FrameStream) {
+		if declines {
+			_, _ = fs.Receive()
+			_ = fs.SendJSON(pulse.FrameRefusal, &pulse.Refusal{Status: 503, NotRun: true, Config: 9})
+			return
+		}
+		acceptOffer(fs)
+		sendHead(fs)
+	})
+	fw := &relay.Forward{ID: "r", Config: 1, Service: "app", Deadline: time.Now().Add(5 * time.Second)}
+	if _, err := no.forwards.Forward(t.Context(), fw); !fault.Is(err, relay.KindNoDetour) {
+		t.Fatalf("have error %v, want kind %q", err, relay.KindNoDetour)
+	}
+	if newest, _ := no.fetch.behindFor(time.Now()); newest != 9 {
+		t.Errorf("have version %d to fetch, want 9", newest)
+	}
+	declines = false
+	rp, err := no.forwards.Forward(t.Context(), fw)
+	if err != nil {
+		t.Fatalf("the next request: %v", err)
+	}
+	rp.Close()
+}
--- a/internal/node/entry/gap_test.go
+++ b/internal/node/entry/gap_test.go
@@ -13,14 +13,12 @@
 	"go.uber.org/zap"
 
 	"lycheepick/internal/edge/door"
-	"lycheepick/internal/edge/relay"
 	"lycheepick/internal/node/config"
 	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/plat/stream"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/rule/watch"
-	"lycheepick/internal/state/routes"
 	"lycheepick/internal/state/server"
 )
 
@@ -176,7 +174,7 @@
 	}, Platform{
 		Store: &no.path, DecodeRecord: splitRecord, EncodeRecord: func(string, []byte) []byte { return nil },
 		DecodeServer: decodeStatus,
-		Handler:      func(func() *routes.Config, *relay.Relay) (door.Handler, ForwardHandler) { return nil, nil },
+		Handler:      func(View) (door.Handler, ForwardHandler) { return nil, nil },
 	}, zap.NewNop())
 	no.since, no.late, no.knownGone, no.round = time.Now(), nil, nil, uint64(fl.rnd.IntN(100))
 	no.mu.Lock()
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -405,9 +405,7 @@
 	pe.incarnation, pe.storeTransitions = re.Incarnation, re.StoreTransitions
 	pe.config = re.Config
 	pe.noteForwarding(re)
-	if re.Config > no.config.Load().version() {
-		no.fetch.hear(now, re.Config)
-	}
+	no.hearConfig(re.Config)
 	no.notePeerServers(re)
 	if re.HoldsLease {
 		no.leader.reportedAt, no.leader.reportedBy = now, re.Node
--- a/internal/node/entry/reach_test.go
+++ b/internal/node/entry/reach_test.go
@@ -44,6 +44,13 @@
 			}
 		}
 	}
+	for _, no := range fl.nodes {
+		no.mu.Lock()
+		if no.regressed > 0 {
+			bad = append(bad, fmt.Sprintf("%s handled a request by version %d after one by version %d", no.id, no.regressed, no.handledBy))
+		}
+		no.mu.Unlock()
+	}
 	slices.Sort(bad)
 	return worst, bad
 }
@@ -56,6 +63,13 @@
 	play  map[int]func(ctx context.Context, fl *reachFleet)
 }
 
+// older makes a node one of an older build.
+func older(no *reachNode) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	no.old = true
+}
+
 // largeConfig is the packed size of a configuration of 1,200 routes.
 const largeConfig = 48 << 10
 
@@ -85,6 +99,14 @@
 		{"the readers die after large ones in series", true, series(play{3500: each(true, 0, kill), 3550: put(10, largeConfig)}, 100, 8, 400)},
 		{"the readers lose the store before a large one", false, play{3000: each(true, 0, silence(6*time.Second)), 3050: put(2, largeConfig)}},
 		{"the readers lose the store after large ones in series", false, series(play{3500: each(true, 0, silence(6*time.Second)), 3550: put(10, largeConfig)}, 100, 8, 400)},
+		{"the answers to the readers are late", true, play{
+			0: each(true, 0, delay(1600*time.Millisecond, 8*time.Second)), 1000: put(2, 1<<10), 2700: put(3, 1<<10), 4300: put(4, largeConfig),
+		}},
+		{"all nodes lose the store for 1.5 s", false, play{0: each(true, 1, silence(1500*time.Millisecond)), 300: put(2, 1<<10), 1400: put(3, largeConfig)}},
+		{"half of the nodes are of an older build", false, series(play{0: each(true, 0.5, older)}, 4000, 5, 300)},
+		{"half of the nodes are of an older build, and the readers lose the store", false, play{
+			0: each(false, 0.5, older), 3000: each(true, 0, silence(6*time.Second)), 3050: put(2, largeConfig),
+		}},
 		{"half of the nodes die before a large one", false, play{3000: each(false, 0.5, kill), 3050: put(2, largeConfig)}},
 		{"nodes join beside large ones in series", false, series(play{
 			3000: each(true, 0.3, kill), 3500: func(ctx context.Context, fl *reachFleet) {
--- a/internal/node/entry/reachnet_test.go
+++ b/internal/node/entry/reachnet_test.go
@@ -16,7 +16,6 @@
 
 	"lycheepick/internal/edge/door"
 	"lycheepick/internal/edge/pause"
-	"lycheepick/internal/edge/relay"
 	"lycheepick/internal/node/config"
 	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/plat/stream"
@@ -101,6 +100,11 @@
 	silentTo time.Time
 	// lateBy delays the answers of the store to this node.
 	lateBy time.Duration
+	// old is set for a node of a build that reports no age of its configuration.
+	old bool
+	// handledBy is the newest version by which the node's process has handled a request, regressed
+	// an older one that came later.
+	handledBy, regressed units.Version
 	// appliedAt is when each version came in force.
 	appliedAt map[units.Version]time.Time
 	// configReads counts the reads of the operators' stream.
@@ -255,7 +259,9 @@
 		<-ctx.Done()
 		return nil, fault.Wrap(op, pulse.KindFailed, ctx.Err())
 	}
+	no.trim(&asked.Report)
 	answer := other.node().Exchange(asked)
+	other.trim(&answer.Report)
 	out, err := reachCopy[pulse.Reply](answer)
 	size := reachReportBytes + (len(out.PackedConfig)+len(out.RawConfig))*4/3
 	other.up.wait(size)
@@ -267,6 +273,15 @@
 	return out, err
 }
 
+// trim removes from a report what an older build doesn't send.
+func (no *reachNode) trim(re *pulse.Report) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	if no.old {
+		re.ConfigAge = 0
+	}
+}
+
 // AskPermits implements peerCaller.
 func (no *reachNode) AskPermits(context.Context, string, *permit.Request) (*pulse.PermitReply, error) {
 	return &pulse.PermitReply{}, nil
@@ -339,13 +354,13 @@
 		Store: no, OperatorStream: reachOperators, ConfigKey: "config", ServerStream: reachServers,
 		DecodeRecord: splitRecord, EncodeRecord: func(string, []byte) []byte { return nil },
 		DecodeServer: decodeStatus, DecodeConfig: no.decodeConfig,
-		Handler: func(func() *routes.Config, *relay.Relay) (door.Handler, ForwardHandler) { return nil, nil },
+		Handler: func(View) (door.Handler, ForwardHandler) { return nil, nil },
 	}, reachLog(no.id))
 	nd.peerClient = no
 	ctx, stop := context.WithCancel(ctx)
 	no.mu.Lock()
 	no.lostBefore, no.appliedAt, no.since, no.dead = map[stream.Name]time.Time{}, map[units.Version]time.Time{}, time.Now(), false
-	no.startedAt = no.since
+	no.startedAt, no.handledBy = no.since, 0
 	no.proc, no.stop = nd, stop
 	no.mu.Unlock()
 	for _, loop := range []func(context.Context){nd.followConfig, nd.followServers, nd.exchangeLoop, nd.fetchConfigs, nd.tick} {
@@ -365,7 +380,8 @@
 	return &routes.Config{Version: units.Version(binary.BigEndian.Uint64(raw))}, nil
 }
 
-// watchVersions records when versions come in force until ctx ends.
+// watchVersions lets each node handle a request every 10 ms until ctx ends, and records by which
+// version.
 func (fl *reachFleet) watchVersions(ctx context.Context) {
 	for pause.For(ctx, 10*time.Millisecond) {
 		for _, no := range fl.nodes {
@@ -374,6 +390,10 @@
 			for ver := have; ver > 0 && no.appliedAt[ver].IsZero(); ver-- {
 				no.appliedAt[ver] = time.Now()
 			}
+			if have < no.handledBy {
+				no.regressed = have
+			}
+			no.handledBy = max(no.handledBy, have)
 			no.mu.Unlock()
 		}
 	}
--- a/internal/peer/pulse/forward.go
+++ b/internal/peer/pulse/forward.go
@@ -44,8 +44,11 @@
 
 // Offer is a request that a node asks a peer to send to a server.
 type Offer struct {
-	ID      units.RequestID `json:"id"`
-	Service units.TargetID  `json:"service"`
+	ID units.RequestID `json:"id"`
+	// Config is the version of the configuration by which the node chose the service. Nodes up to
+	// version 0.4 don't send it.
+	Config  units.Version  `json:"config,omitempty"`
+	Service units.TargetID `json:"service"`
 	// Header is the client's request header as it was read.
 	Header    []byte `json:"header"`
 	BodyBytes int    `json:"body_bytes"`
@@ -82,6 +85,8 @@
 	NotRun bool `json:"not_run"`
 	// Try names nodes that may take a request that the peer declined.
 	Try []units.VMID `json:"try,omitempty"`
+	// Config is the version in force at a peer that declined. Nodes up to version 0.4 don't send it.
+	Config units.Version `json:"config,omitempty"`
 }
 
 // frameEncoding implements drpc.Encoding for frames.
