Records of other writers name no server that can't exist

Fix: what others write is decoded through internal/rule/bound alone: length and nesting of a document, range of a number, addresses that can be dialled. A server's own word that it drains holds, also if another writer has left a larger sequence number under its key.

--- a/internal/node/entry/duty.go
+++ b/internal/node/entry/duty.go
@@ -11,6 +11,7 @@
 
 	"lycheepick/internal/edge/pause"
 	"lycheepick/internal/plat/stream"
+	"lycheepick/internal/rule/bound"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/lease"
 	"lycheepick/internal/rule/units"
@@ -176,7 +177,7 @@
 }
 
 func (no *Node) decodeLease(it stream.Keyed) (rec leaseRecord, ok bool) {
-	if err := json.Unmarshal(it.Value, &rec); err != nil {
+	if err := bound.JSON(it.Value, bound.Lease, &rec); err != nil {
 		no.log.Warn("duty_record_unreadable", zap.Int64("offset", int64(it.Offset)), zap.Error(err))
 		return rec, false
 	}
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -14,6 +14,7 @@
 	"lycheepick/internal/edge/relay"
 	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/plat/stream"
+	"lycheepick/internal/rule/bound"
 	"lycheepick/internal/rule/permit"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/rule/watch"
@@ -149,7 +150,11 @@
 	defer no.mu.Unlock()
 	for _, it := range items {
 		var pe pulse.Peer
-		if err := json.Unmarshal(it.Value, &pe); err != nil {
+		err := bound.JSON(it.Value, bound.Record, &pe)
+		if err == nil {
+			err = bound.Address(pe.Address)
+		}
+		if err != nil {
 			no.log.Warn("peer_entry_unreadable", zap.String("key", it.Key), zap.Error(err))
 			continue
 		}
--- a/internal/node/entry/reachnet_test.go
+++ b/internal/node/entry/reachnet_test.go
@@ -329,13 +329,13 @@
 	fl.store.putConfig(1, 1<<10)
 	for num := range count {
 		id := fmt.Sprintf("node-%d", num)
-		own, _ := json.Marshal(pulse.Peer{Node: units.VMID(id), Address: id})
+		own, _ := json.Marshal(pulse.Peer{Node: units.VMID(id), Address: reachAddress(num)})
 		fl.addresses = append(fl.addresses, stream.Keyed{Key: id, Value: own})
 	}
 	for num := range count {
 		no := &reachNode{id: units.VMID(fmt.Sprintf("node-%d", num)), fl: fl, up: &link{bytesPerSecond: reachLink}, down: &link{bytesPerSecond: reachLink}}
 		fl.nodes = append(fl.nodes, no)
-		fl.byAddress[fmt.Sprintf("node-%d", num)] = no
+		fl.byAddress[reachAddress(num)] = no
 	}
 	for num := range count {
 		fl.start(ctx, num)
@@ -344,11 +344,13 @@
 	return fl
 }
 
+func reachAddress(num int) string { return fmt.Sprintf("node-%d:1", num) }
+
 // start gives a node a new process.
 func (fl *reachFleet) start(ctx context.Context, num int) {
 	no := fl.nodes[num]
 	nd := New(&config.EntrySettings{
-		VM: config.EntryVM{ID: no.id, Zone: "z1"}, Listen: config.EntryListen{Peers: string(no.id)},
+		VM: config.EntryVM{ID: no.id, Zone: "z1"}, Listen: config.EntryListen{Peers: reachAddress(num)},
 		Timing: reachTiming(),
 	}, Platform{
 		Store: no, OperatorStream: reachOperators, ConfigKey: "config", ServerStream: reachServers,
--- /dev/null
+++ b/internal/peer/pulse/bound.go
@@ -0,0 +1,33 @@
+package pulse
+
+import (
+	"time"
+
+	"lycheepick/internal/rule/bound"
+	"lycheepick/internal/rule/place"
+)
+
+const (
+	// maxAge bounds the ages in a report. A negative one would be news from the future, which
+	// counts as up to date for ever.
+	maxAge = 24 * time.Hour
+	// maxPeers bounds the nodes that a report names, and maxServers the servers.
+	maxPeers   = 64
+	maxServers = 4096
+	// maxLoad bounds the requests of a node at one server, and maxPending their prompt tokens.
+	maxLoad    = 1 << 20
+	maxPending = 1 << 40
+)
+
+// bound limits a report to values that a node can have.
+func (re *Report) bound() {
+	re.ConfigAge = bound.Clamp(re.ConfigAge, 0, maxAge)
+	re.ServersAge = bound.Clamp(re.ServersAge, 0, maxAge)
+	re.SinceStoreOutage = bound.Clamp(re.SinceStoreOutage, 0, maxAge)
+	re.Peers = bound.First(re.Peers, maxPeers)
+	re.ServerLimits = bound.First(re.ServerLimits, maxServers)
+	re.ServersLeaving = bound.First(re.ServersLeaving, maxServers)
+	for id, lo := range re.Loads {
+		re.Loads[id] = place.Load{Running: bound.Clamp(lo.Running, 0, maxLoad), PendingPrefill: bound.Clamp(lo.PendingPrefill, 0, maxPending)}
+	}
+}
--- /dev/null
+++ b/internal/peer/pulse/bound_test.go
@@ -0,0 +1,43 @@
+package pulse
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"lycheepick/internal/rule/notice"
+)
+
+// FuzzReport guards against reports of peers with news from the future, or with sums that overflow.
+func FuzzReport(f *testing.F) {
+	f.Add([]byte(`{"node":"a","agreed":-9000000000000000000,"config_age":-1,"store_back":9223372036854775807}`))
+	f.Add([]byte(`{"node":"a","loads":{"s":{"Running":9223372036854775807,"Unread":-5}}}`))
+	f.Add([]byte(`{"servers_leaving":[{"server":"s","start":-1,"age":-1}],"server_limits":[{"server":"s","rate":1e308,"named":true,"age":-1}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var re Reply
+		if err := (jsonEncoding{&Traffic{}}).Unmarshal(raw, &re); err != nil {
+			return
+		}
+		for _, age := range []time.Duration{re.ServersAge, re.ConfigAge, re.SinceStoreOutage} {
+			if age < 0 || age > maxAge {
+				t.Fatalf("age %s: %q", age, raw)
+			}
+		}
+		for _, lo := range re.Loads {
+			if lo.Running < 0 || lo.Running > maxLoad || lo.PendingPrefill < 0 {
+				t.Fatalf("load %+v: %q", lo, raw)
+			}
+		}
+		if len(re.Peers) > maxPeers || len(re.ServersLeaving) > maxServers {
+			t.Fatalf("%d peers, %d servers", len(re.Peers), len(re.ServersLeaving))
+		}
+	})
+}
+
+// TestDepartureForm fixes the form of a server that leaves in reports, which other builds read.
+func TestDepartureForm(t *testing.T) {
+	raw, err := json.Marshal(Departure{Server: notice.Server{ID: "i-1", StartUnixMS: 7}, Age: time.Second})
+	if want := `{"server":"i-1","start":7,"age":1000000000}`; err != nil || string(raw) != want {
+		t.Errorf("have %s and error %v, want %s", raw, err, want)
+	}
+}
--- a/internal/peer/pulse/forward.go
+++ b/internal/peer/pulse/forward.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
+	"lycheepick/internal/rule/bound"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/units"
 )
@@ -159,7 +160,7 @@
 	if fr.Kind != ki {
 		return fault.New(op, KindFailed, "frame of kind %q, want %q", fr.Kind, ki)
 	}
-	return fault.Wrap(op, KindFailed, json.Unmarshal(fr.Data, msg))
+	return fault.Wrap(op, KindFailed, bound.JSON(fr.Data, bound.Message, msg))
 }
 
 // Close ends the stream.
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -18,6 +18,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"lycheepick/internal/plat/stream"
+	"lycheepick/internal/rule/bound"
 	"lycheepick/internal/rule/crash"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/notice"
@@ -218,7 +219,13 @@
 // Unmarshal implements drpc.Encoding.
 func (en jsonEncoding) Unmarshal(raw []byte, msg drpc.Message) error {
 	en.traffic.Received.Add(int64(len(raw)))
-	return json.Unmarshal(raw, msg)
+	if err := bound.JSON(raw, bound.Message, msg); err != nil {
+		return err
+	}
+	if bo, ok := msg.(interface{ bound() }); ok {
+		bo.bound()
+	}
+	return nil
 }
 
 // Client calls peers and keeps idle connections for reuse.
--- a/internal/state/server/server.go
+++ b/internal/state/server/server.go
@@ -228,7 +228,7 @@
 	}
 	st.offset = off
 	if st.isNewerThan(&in) || st.isRemovedAfter(&in) {
-		return false
+		return st.drains(now, &in)
 	}
 	before, removed := st.Status, st.removed
 	if !in.startsIncarnationAfter(&before, removed) && st.Draining {
@@ -244,6 +244,17 @@
 	return true
 }
 
+// drains marks a server as draining that a later record of the same incarnation says to drain,
+// whatever its sequence number: another writer may have written a larger one. It returns true if
+// that is a change.
+func (st *entry) drains(now time.Time, in *Status) bool {
+	if !in.Draining || st.Draining || st.removed || in.StartUnixMS != st.StartUnixMS {
+		return false
+	}
+	st.Draining, st.TimeLeft, st.changedAt = true, in.TimeLeft, now
+	return true
+}
+
 // isNewerThan reports whether a record is from an earlier incarnation than the one held, or
 // has a smaller sequence number within the same one.
 func (st *entry) isNewerThan(in *Status) bool {
--- a/internal/state/server/server_test.go
+++ b/internal/state/server/server_test.go
@@ -109,6 +109,13 @@
 				panic("a record of an earlier incarnation cancelled draining")
 			}
 		}, 1},
+		{"a server drains whatever sequence number another writer left", func(rg *server.Registry) {
+			rg.Put(at(10), time.Time{}, 1, "i-1", server.Status{Service: "model", StartUnixMS: 9, Sequence: 1 << 50})
+			rg.Put(at(20), time.Time{}, 2, "i-1", server.Status{Service: "model", StartUnixMS: 9, Sequence: 7, Draining: true})
+			if list := rg.List(); !list[0].Draining {
+				panic("the server's own word was taken for older than another writer's")
+			}
+		}, 1},
 		{"without a start time, a sequence number that restarts is a new incarnation", func(rg *server.Registry) {
 			remove(rg, 10, 1)
 			rg.Put(at(20), time.Time{}, 2, "i-1", server.Status{Service: "model", Sequence: 1})
