Clamping of numbers reads plainly; an unused constant of a test goes

Found by the linter: a condition that could be simpler, and a constant that the model of servers that leave did not use. No change of behaviour; TestNumbersOutOfRange has the case of no number.

--- a/internal/node/entry/leavenet_test.go
+++ b/internal/node/entry/leavenet_test.go
@@ -20,9 +20,6 @@
 	// removes a server that has not renewed its record.
 	heartbeat = time.Second
 	expiry    = 3 * heartbeat
-	// rewriteTime is the time from the return of the store in which a live server has renewed its
-	// record.
-	rewriteTime = 2 * time.Second
 	// reachServerCount is the number of servers.
 	reachServerCount = 20
 )
--- a/internal/rule/bound/bound.go
+++ b/internal/rule/bound/bound.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net"
 	"strconv"
 	"time"
@@ -112,10 +113,10 @@
 
 // Clamp returns the value nearest to val that is from least to most.
 func Clamp[T ~int | ~int64 | ~float64](val, least, most T) T {
-	if !(val >= least) { // Also for NaN.
+	if math.IsNaN(float64(val)) {
 		return least
 	}
-	return min(val, most)
+	return min(max(val, least), most)
 }
 
 // First returns the first count items of a list at most.
