A refusal proves that a request has not run only if it names the request

A faulty server wrote an earlier refusal once more on a kept connection. Callers were told 503, not run, for requests that the server ran, and some ran at a second server.

Cause: an answer that named no request was taken for that of the request just sent, also on a connection that had carried others, and a refusal is a proof. Bytes that arrive between the check of the idle connection and the send, or after it, can't be told by the connection.

Fix: an answer belongs to a send if it names its request, on a connection that has not carried that request before, or if it is the first on its connection. At the OpenAI address, whose engines need not name requests, a refusal on a kept connection that doesn't name the attempt is no proof any more, and an answer to another request is none.

--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -8,6 +8,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -89,8 +90,15 @@
 	net.Conn
 	rd      *bufio.Reader
 	expires time.Time
+	// used is set once a request has been sent, and carried holds the tags of the latest ones.
+	used    bool
+	carried []string
 }
 
+// maxCarried is the number of tags that a connection keeps. It is closed after that many tagged
+// requests.
+const maxCarried = 256
+
 // Answer is a response whose body is still to be read. It must be closed after use.
 type Answer struct {
 	Header fasthttp.ResponseHeader
@@ -98,6 +106,9 @@
 	Body *Body
 	// SentAt is when the request had been handed to the kernel.
 	SentAt time.Time
+	// First is set if this is the first answer on its connection, to the first request: no other one
+	// can be meant.
+	First bool
 
 	cl        *Caller
 	cn        *conn
@@ -120,6 +131,9 @@
 	Fresh, Open bool
 	// Dial ends once a new connection isn't waited for any more, nil for never.
 	Dial context.Context
+	// Tag identifies the request, if it isn't empty: it isn't sent on a connection that has carried
+	// it before, where a server may repeat its earlier answer.
+	Tag string
 	// Proceed reports whether the request may still be sent once there is a connection, which
 	// may take as long as the dial timeout. Nil always does.
 	Proceed func() bool
@@ -142,6 +156,8 @@
 		an.discard()
 		return nil, fault.New(op, KindNotSent, "no longer wanted at %s", addr)
 	}
+	an.First = !cn.used
+	cn.carry(co.Tag)
 	if err := send(cn, req); err != nil {
 		an.discard()
 		return nil, fault.Wrap(op, KindBroken, err)
@@ -188,10 +204,18 @@
 	if err := an.readHead(); err != nil {
 		return fault.Wrap(op, KindBroken, err)
 	}
-	an.Body = newBody(&an.Header, an.cn.rd)
+	an.Body, an.First = newBody(&an.Header, an.cn.rd), false
 	return nil
 }
 
+// carry records that a request is sent on the connection.
+func (cn *conn) carry(tag string) {
+	cn.used = true
+	if tag != "" {
+		cn.carried = append(cn.carried, tag)
+	}
+}
+
 // writers pools the write buffers, which would be most of the garbage of a request.
 var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferBytes) }}
 
@@ -208,7 +232,7 @@
 
 func (cl *Caller) connect(ctx context.Context, addr string, co Conditions) (*conn, error) {
 	if !co.Fresh {
-		if cn := cl.takeIdle(addr); cn != nil {
+		if cn := cl.takeIdle(addr, co.Tag); cn != nil {
 			return cn, nil
 		}
 	}
@@ -288,14 +312,16 @@
 	return err == nil && open
 }
 
-func (cl *Caller) takeIdle(addr string) *conn {
+func (cl *Caller) takeIdle(addr, tag string) *conn {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	list := cl.idle[addr]
-	for len(list) > 0 {
-		cn := list[len(list)-1]
-		list = list[:len(list)-1]
-		cl.idle[addr] = list
+	for idx := len(cl.idle[addr]) - 1; idx >= 0; idx-- {
+		list := cl.idle[addr]
+		cn := list[idx]
+		if tag != "" && slices.Contains(cn.carried, tag) {
+			continue
+		}
+		cl.idle[addr] = slices.Delete(list, idx, idx+1)
 		if time.Now().Before(cn.expires) && cn.isReusable() {
 			return cn
 		}
@@ -307,7 +333,7 @@
 func (cl *Caller) putIdle(addr string, cn *conn) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	if len(cl.idle[addr]) >= idlePerServer {
+	if len(cl.idle[addr]) >= idlePerServer || len(cn.carried) >= maxCarried {
 		_ = cn.Close()
 		return
 	}
--- a/internal/edge/engine/engine.go
+++ b/internal/edge/engine/engine.go
@@ -119,8 +119,15 @@
 	if err != nil {
 		return nil, fault.Wrap(op, kindOfCall(err), err)
 	}
+	if echo := an.Header.Peek(HeaderRequest); len(echo) > 0 && string(echo) != string(pr.Request) {
+		an.Close()
+		return nil, fault.New(op, KindBroken, "an answer to request %.40s", echo)
+	}
 	if err := checkHead(an); err != nil {
 		an.Close()
+		if isRefusal(err) && !IsOwn(an, pr.Request, pr.Attempt) {
+			err = fault.Wrap(op, KindBroken, err)
+		}
 		return nil, err
 	}
 	rd := readers.Get().(*bufio.Reader)
@@ -147,6 +154,16 @@
 	return KindBroken
 }
 
+// IsOwn reports whether an answer belongs to an attempt: it names the attempt, or nothing was sent on
+// its connection before. A faulty server may repeat an earlier refusal where the next answer is
+// expected, and a refusal proves that the request did not run.
+func IsOwn(an *call.Answer, rq units.RequestID, att units.AttemptID) bool {
+	return an.First || string(an.Header.Peek(HeaderRequest)) == string(rq) &&
+		string(an.Header.Peek(HeaderAttempt)) == strconv.Itoa(int(att))
+}
+
+func isRefusal(err error) bool { return fault.Is(err, KindRefused) || fault.Is(err, KindDraining) }
+
 func checkHead(an *call.Answer) error {
 	const op = "engine.checkHead"
 	code := an.Header.StatusCode()
--- a/internal/edge/plain/plain.go
+++ b/internal/edge/plain/plain.go
@@ -84,7 +84,11 @@
 		return nil, fault.Wrap(op, KindBroken, err)
 	}
 	defer an.Close()
-	return read(an)
+	out, err := read(an)
+	if (fault.Is(err, KindRefused) || fault.Is(err, KindDraining)) && !engine.IsOwn(an, rq.ID, rq.Attempt) {
+		return nil, fault.New(op, KindBroken, "a refusal that doesn't name the request: %s", err)
+	}
+	return out, err
 }
 
 func read(an *call.Answer) (*Answer, error) {
--- a/internal/fake/stand/engine.go
+++ b/internal/fake/stand/engine.go
@@ -157,7 +157,17 @@
 	return sb.String()
 }
 
+// echoAttempt names the attempt in the answer, which proves that a refusal belongs to it.
+func echoAttempt(ct *fiber.Ctx) {
+	for _, name := range []string{engine.HeaderRequest, engine.HeaderAttempt} {
+		if val := ct.Get(name); val != "" {
+			ct.Set(name, val)
+		}
+	}
+}
+
 func (en *Engine) generate(ct *fiber.Ctx) error {
+	echoAttempt(ct)
 	var gr generateRequest
 	if err := json.Unmarshal(ct.Body(), &gr); err != nil {
 		return ct.Status(fiber.StatusBadRequest).SendString(err.Error())
--- a/internal/fake/stand/plain.go
+++ b/internal/fake/stand/plain.go
@@ -49,6 +49,7 @@
 }
 
 func (pl *Plain) answer(ct *fiber.Ctx) error {
+	echoAttempt(ct)
 	if reason := pl.refusalReason(); reason != "" {
 		ct.Set(engine.HeaderRefused, reason)
 		return ct.Status(fiber.StatusServiceUnavailable).SendString(reason)
