A stream ends, and goes on, by events in order alone

A stream had broken off, and what the next server answered stood in the middle of the caller's stream, or ended it as if it were complete: JSON with an empty line, an event without an id, the head of an answer, events 1 and 2 once more, nothing at all. The same at the first go.

Cause: any 200 on a stream's route was forwarded up to each empty line, and its end was the stream's.

Fix: each event is read before it is forwarded: lines of fields or comments, an id, and that one after the event before. What is no event breaks the stream off there, before it, and another server is asked or the caller resumes. A response of another type is a whole answer, which a stream that has begun can't take. An answer without an event ends no stream, also one that says that it is a stream: one that broke off right after its last event is not told from that, and its caller asks again.

Heads in the relay's tests state no type now, as those of the adapter; the fake server of resumed streams goes on after the caller's last event, which it did not.

--- a/internal/edge/relay/answer.go
+++ b/internal/edge/relay/answer.go
@@ -80,16 +80,21 @@
 	return ru.rq.Route.RetryPolicy != routes.AtMostOnce && ru.sends < ru.rq.Route.MaxAttempts && time.Until(ru.rq.Deadline) > minRetryTime
 }
 
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
+// forwardBody forwards the response of a server, which is a stream if its route and its type say so.
+func (ru *run) forwardBody(pi *picked, rp *Reply, sentAt time.Time) error {
+	if ru.rq.Route.Stream && rp.Status == fasthttp.StatusOK && isEventStream(rp.Head) {
+		return ru.stream(pi, rp)
+	}
+	return ru.whole(pi, rp, sentAt)
+}
 
-// stream forwards server-sent events as they arrive, never a part of an event.
+// stream forwards server-sent events as they arrive, never a part of an event. Only an answer that
+// has brought an event ends the stream.
 func (ru *run) stream(pi *picked, rp *Reply) error {
 	const op = "relay.stream"
 	var pending []byte
 	buf := make([]byte, readBytes)
+	began := ru.events
 	for first := true; ; {
 		num, err := rp.Body.Read(buf)
 		pending = append(pending, buf[:num]...)
@@ -103,12 +108,14 @@
 				ru.keepVersion(pi)
 			}
 			if err := ru.forwardEvents(rp, pending[:at+len(eventEnd)]); err != nil {
-				return fault.Wrap(op, KindCallerGone, err)
+				return err
 			}
 			pending = append(pending[:0], pending[at+len(eventEnd):]...)
 		}
 		switch {
-		case errors.Is(err, io.EOF) && len(pending) == 0 && ru.sink.Started():
+		case len(pending) > maxEventBytes:
+			return fault.New(op, KindBroken, "server %s sent an event of over %d bytes", pi.Server.ID, maxEventBytes)
+		case errors.Is(err, io.EOF) && len(pending) == 0 && ru.events > began:
 			if err := ru.sink.End(); err != nil {
 				return fault.Wrap(op, KindCallerGone, err)
 			}
@@ -121,24 +128,22 @@
 	}
 }
 
-// forwardEvents sends complete events to the caller and tracks the last event ID.
+// forwardEvents sends complete events to the caller and tracks the last event ID. The error is of
+// KindBroken at an event that doesn't go on after the last one, and of KindCallerGone.
 func (ru *run) forwardEvents(rp *Reply, events []byte) error {
-	if !ru.sink.Started() {
-		ru.rl.ObserveFirstByte(time.Since(ru.rq.Arrived))
-		if err := ru.sink.Start(rp.Head); err != nil {
-			return err
-		}
-	}
-	for _, ev := range bytes.Split(events, eventEnd) {
-		if len(ev) == 0 {
-			continue
-		}
-		ru.events++
-		for _, line := range bytes.Split(ev, []byte("\n")) {
-			if id, ok := bytes.CutPrefix(line, idField); ok {
-				ru.lastEvent = string(bytes.TrimSpace(id))
+	const op = "relay.forwardEvents"
+	good, count, latest, bad := nextEvents(events, ru.lastEvent)
+	if len(good) > 0 {
+		if !ru.sink.Started() {
+			ru.rl.ObserveFirstByte(time.Since(ru.rq.Arrived))
+			if err := ru.sink.Start(rp.Head); err != nil {
+				return fault.Wrap(op, KindCallerGone, err)
 			}
 		}
+		ru.events, ru.lastEvent = ru.events+count, latest
+		if err := ru.sink.Part(good); err != nil {
+			return fault.Wrap(op, KindCallerGone, err)
+		}
 	}
-	return ru.sink.Part(events)
+	return fault.Wrap(op, KindBroken, bad)
 }
--- a/internal/edge/relay/crashes_test.go
+++ b/internal/edge/relay/crashes_test.go
@@ -59,6 +59,7 @@
 		return nil, fault.Wrap("test", relay.KindBroken, io.EOF)
 	}
 	hd := &fasthttp.ResponseHeader{}
+	hd.SetNoDefaultContentType(true)
 	hd.SetStatusCode(fasthttp.StatusOK)
 	return &relay.Reply{
 		Status: fasthttp.StatusOK, Authentic: true, Head: hd, SentAt: time.Now(),
--- a/internal/edge/relay/detour.go
+++ b/internal/edge/relay/detour.go
@@ -318,12 +318,7 @@
 	ru.observeForwarded(via, rp)
 	pi := &picked{Choice: place.Choice{Server: rp.Server}, sent: began, detour: true}
 	ru.last = *pi
-	if rq.Route.Stream && rp.Status == fasthttp.StatusOK {
-		err = ru.stream(pi, rp)
-	} else {
-		err = ru.whole(pi, rp, began)
-	}
-	return ru.why(callerCtx, ctx, err)
+	return ru.why(callerCtx, ctx, ru.forwardBody(pi, rp, began))
 }
 
 // settleForward records the end of a request that went through another node.
--- a/internal/edge/relay/origins_test.go
+++ b/internal/edge/relay/origins_test.go
@@ -26,11 +26,12 @@
 // Send implements relay.Exchange.
 func (vs *versionServers) Send(_ context.Context, at *relay.Attempt) (*relay.Reply, error) {
 	vs.versions = append(vs.versions, at.Server.Version)
-	body := "id: " + string(rune('0'+len(vs.versions))) + "\n\n"
+	body := "id: " + string(rune('3'+len(vs.versions))) + "\n\n" // Callers resume after event 3.
 	if len(vs.versions) <= vs.cuts {
 		body += "cut"
 	}
 	hd := &fasthttp.ResponseHeader{}
+	hd.SetNoDefaultContentType(true)
 	hd.SetStatusCode(fasthttp.StatusOK)
 	return &relay.Reply{Status: fasthttp.StatusOK, Authentic: true, Head: hd, SentAt: time.Now(), Body: io.MultiReader(strings.NewReader(body)), Close: func() {}}, nil
 }
--- a/internal/edge/relay/permits_test.go
+++ b/internal/edge/relay/permits_test.go
@@ -37,6 +37,7 @@
 	}
 	ls.sentTo = append(ls.sentTo, at.Server.ID)
 	hd := &fasthttp.ResponseHeader{}
+	hd.SetNoDefaultContentType(true)
 	hd.SetStatusCode(fasthttp.StatusOK)
 	return &relay.Reply{
 		Status: fasthttp.StatusOK, Authentic: true, Head: hd, SentAt: time.Now(), Limit: permit.Limit{Rate: 1, Named: ls.names},
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -45,6 +45,7 @@
 
 func serverFailure() *relay.Reply {
 	hd := &fasthttp.ResponseHeader{}
+	hd.SetNoDefaultContentType(true)
 	hd.SetStatusCode(fasthttp.StatusInternalServerError)
 	return &relay.Reply{
 		Status: fasthttp.StatusInternalServerError, Authentic: true, Head: hd,
@@ -263,6 +264,7 @@
 
 func streamReply(body string) *relay.Reply {
 	hd := &fasthttp.ResponseHeader{}
+	hd.SetNoDefaultContentType(true)
 	hd.SetStatusCode(fasthttp.StatusOK)
 	return &relay.Reply{Status: fasthttp.StatusOK, Authentic: true, Head: hd, Body: strings.NewReader(body), Close: func() {}}
 }
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -440,12 +440,7 @@
 	if !rp.Authentic {
 		return fault.New(op, KindBroken, "server %s gave an answer that is not its own, status %d", pi.Server.ID, rp.Status)
 	}
-	if ru.rq.Route.Stream && rp.Status == fasthttp.StatusOK {
-		err = ru.stream(pi, rp)
-	} else {
-		err = ru.whole(pi, rp, sentAt)
-	}
-	return ru.why(callerCtx, ctx, err)
+	return ru.why(callerCtx, ctx, ru.forwardBody(pi, rp, sentAt))
 }
 
 // orCut returns the error of an attempt that was not sent, as one of KindCut if the path to the
