A peer names its configuration only when that is why it declined

Read in the diff: a peer that declined for another reason, such as a cut path, named its version too, so that a node with another one asked it again with the next request. The time at which a server of the model began to say that it leaves was kept and not read.

--- a/internal/bench/crowd/leave.go
+++ b/internal/bench/crowd/leave.go
@@ -33,9 +33,8 @@
 	Slowest time.Duration
 }
 
-// departure is what reached a server from when it said that it leaves.
+// departure is what a server that says that it leaves has told: when it first told any node, and when each.
 type departure struct {
-	from  time.Time
 	first time.Time
 	told  map[*node]time.Time
 }
@@ -44,7 +43,7 @@
 	for _, dp := range ru.Load.Departures {
 		en := ru.engines[dp.Server]
 		ru.scheduleAt(dp.At, func() {
-			en.departs = &departure{from: ru.now, told: map[*node]time.Time{}}
+			en.departs = &departure{told: map[*node]time.Time{}}
 			ru.result.Leaving.Departures++
 		})
 		if dp.For == 0 {
--- a/internal/node/entry/forward.go
+++ b/internal/node/entry/forward.go
@@ -290,7 +290,6 @@
 	decline := func(err error, hints ...units.VMID) (ServeForwarded, *pulse.Refusal, func()) {
 		return nil, &pulse.Refusal{
 			Status: fasthttp.StatusServiceUnavailable, Reason: err.Error(), RetryAfter: unusableRetryAfter, NotRun: true, Try: hints,
-			Config: fo.no.config.Load().version(),
 		}, release
 	}
 	fr, err := fs.Receive()
@@ -317,7 +316,9 @@
 		Attempts: of.Attempts, LastEvent: of.LastEvent, Version: of.Version, Counted: of.Counted,
 	})
 	if err != nil {
-		return decline(err)
+		_, declined, _ = decline(err)
+		declined.Config = fo.no.config.Load().version()
+		return nil, declined, release
 	}
 	return serve, nil, release
 }
--- a/internal/peer/pulse/forward.go
+++ b/internal/peer/pulse/forward.go
@@ -86,7 +86,8 @@
 	NotRun bool `json:"not_run"`
 	// Try names nodes that may take a request that the peer declined.
 	Try []units.VMID `json:"try,omitempty"`
-	// Config is the version in force at a peer that declined. Nodes up to version 0.4 don't send it.
+	// Config is the version in force at a peer that declined since it doesn't allow the request. Nodes
+	// up to version 0.4 don't send it.
 	Config units.Version `json:"config,omitempty"`
 }
 
