--- a/internal/bench/crowd/limit.go
+++ b/internal/bench/crowd/limit.go
@@ -232,3 +232,17 @@
 		pe.told[rq.node] = ru.now
 	}
 }
+
+// noServerRetryAfter returns when a request may come back that no server takes.
+func (no *node) noServerRetryAfter() time.Duration {
+	rate, limited := units.RequestsPerSecond(0), false
+	for _, sv := range no.servers {
+		if li := no.permits.Limit(noticeServer(&sv)); li.Named {
+			rate, limited = rate+li.Rate, true
+		}
+	}
+	if !limited {
+		return immediateRetryDelay
+	}
+	return no.permitRetry.Next(no.ru.now, float64(rate)/float64(len(no.peers)+1))
+}
--- a/internal/bench/crowd/node.go
+++ b/internal/bench/crowd/node.go
@@ -433,20 +433,6 @@
 	})
 }
 
-// noServerRetryAfter returns when a request may come back that no server takes.
-func (no *node) noServerRetryAfter() time.Duration {
-	rate, limited := units.RequestsPerSecond(0), false
-	for _, sv := range no.servers {
-		if li := no.permits.Limit(noticeServer(&sv)); li.Named {
-			rate, limited = rate+li.Rate, true
-		}
-	}
-	if !limited {
-		return immediateRetryDelay
-	}
-	return no.permitRetry.Next(no.ru.now, float64(rate)/float64(len(no.peers)+1))
-}
-
 func (no *node) choose(rq *request) (place.Choice, bool) {
 	if !no.ru.Naive {
 		rq.ask.Gate = func(sv *server.Server) permit.Gate { return no.permits.Gate(no.ru.now, noticeServer(sv)) }
