An event of a stream has one id

Found by FuzzEvents in half a minute: "id:1" and "id:0" in one event, of which the relay took the last for the event's and a client may take the first, so that events could come again for it. Such an event breaks the stream off like any other that is none. The fuzzer's input is a seed, red before.

--- a/internal/edge/relay/events.go
+++ b/internal/edge/relay/events.go
@@ -65,9 +65,13 @@
 			return "", fault.New(op, KindBroken, "no event of a stream: %.60q", line)
 		}
 		hasFields = true
-		if bytes.Equal(name, idField) {
-			id = string(bytes.TrimSpace(val))
+		if !bytes.Equal(name, idField) {
+			continue
+		}
+		if id != "" {
+			return "", fault.New(op, KindBroken, "an event with two ids: %.60q", ev)
 		}
+		id = string(bytes.TrimSpace(val))
 	}
 	if hasFields && id == "" {
 		return "", fault.New(op, KindBroken, "an event without an id: %.60q", ev)
--- a/internal/edge/relay/events_test.go
+++ b/internal/edge/relay/events_test.go
@@ -83,6 +83,7 @@
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n\n", "id: 3\n\n")
 	f.Add("id: 1\n\nHTTP/1.1 500 x\r\n\r\n\n\n", "{\"error\":1}\n\n")
+	f.Add("0", "id:1\nid:0\n\n")
 	f.Add(":\n\nid:9\nx-weight-versions: 2\n\n", "id: 9\n\nid: 10\n\n")
 	f.Fuzz(func(t *testing.T, one, two string) {
 		si := &endSink{}
