The model of servers that leave waits for its judge

The result had been written by then in each run seen, as the judge ends 50 ms before; no check or bound changes. The test passes under the race detector.

--- a/internal/node/entry/leavenet_test.go
+++ b/internal/node/entry/leavenet_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"lycheepick/internal/edge/pause"
 	"lycheepick/internal/node/config"
 )
@@ -213,13 +215,15 @@
 	defer done()
 	var bad []string
 	var slowest time.Duration
-	fl.wg.Go(func() { bad, slowest = fl.watchServers(watch, bound, contact) })
+	var judging conc.WaitGroup
+	judging.Go(func() { bad, slowest = fl.watchServers(watch, bound, contact) })
 	for at := 0; at <= 13000; at += 50 {
 		if do := rc.play[at]; do != nil {
 			do(ctx, fl)
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
+	judging.Wait()
 	t.Logf("last sent %s after a server left", slowest)
 	slices.Sort(bad)
 	if len(bad) > 0 {
