--- a/tools/test.sh
+++ b/tools/test.sh
@@ -7,15 +7,18 @@
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
 # The simulations of large fleets use all processors for minutes, and tests of real nodes measure
-# seconds, so that the former run by themselves. A package may take longer than the 10 minutes that
+# seconds. Each of these groups runs by itself. A package may take longer than the 10 minutes that
 # "go test" allows it.
-simulations=./internal/bench/...
-mapfile -t others < <(go list ./... | grep -v '/internal/bench')
 status=0
-go test -count=1 -timeout 30m "$@" "${others[@]}" 2>&1 | tee "$out"
-[ "${PIPESTATUS[0]}" -eq 0 ] || status=1
-go test -count=1 -timeout 30m "$@" "$simulations" 2>&1 | tee -a "$out"
-[ "${PIPESTATUS[0]}" -eq 0 ] || status=1
+run() { # ARGUMENTS PACKAGES
+  go test -count=1 -timeout 30m "$@" 2>&1 | tee -a "$out"
+  [ "${PIPESTATUS[0]}" -eq 0 ] || status=1
+}
+apart='/internal/(bench/|node/entry$)'
+mapfile -t others < <(go list ./... | grep -vE "$apart")
+run "$@" "${others[@]}"
+run "$@" ./internal/node/entry
+run "$@" ./internal/bench/...
 # An entry ends with its issue. Under the race detector those it doesn't run are left out.
 race=0
 if [[ " $* " == *" -race "* ]]; then race=1; fi
