A slow server's attempt is cancelled only if the request can go elsewhere

What callers saw: a service with one server that takes 0.7 s answered 502 to repeatable requests: the attempt was cancelled after 0.6 s to be sent to another server, and there was none. What the server would have said, such as that it wants a rest, was lost too: 4 of 8 requests reached it in a rest of 14 s that it had asked for.

Cause: the timer of the first byte looked at the route alone. Now it looks for a server that would take the request as a repeat, and for a repeat in the budget, and looks again each 0.1 s. The timer has a state of its own, since one that is started again can't be asked by Stop whether it has fired.

Ruled out: the unresponsive time of 0.9 s, which 0.7 s doesn't reach.

--- a/internal/edge/relay/answer.go
+++ b/internal/edge/relay/answer.go
@@ -21,12 +21,6 @@
 	readBytes = 4 << 10
 )
 
-// stopFirstByteTimer returns false if the attempt has timed out, so that its connection is being
-// reset.
-func (ru *run) stopFirstByteTimer() bool {
-	return ru.firstByteTimer == nil || ru.firstByteTimer.Stop()
-}
-
 // recordStart records that a response started. began is the time at which the request counts
 // as executed.
 func (ru *run) recordStart(pi *picked, began time.Time) {
@@ -52,7 +46,7 @@
 // requests are kept in ru.failure instead.
 func (ru *run) whole(pi *picked, rp *Reply, sentAt time.Time) error {
 	const op = "relay.whole"
-	ru.stopFirstByteTimer() // If it is too late, a body that has arrived whole is sent all the same.
+	ru.firstByte.stop() // If it is too late, a body that has arrived whole is sent all the same.
 	ru.recordStart(pi, sentAt)
 	body, err := io.ReadAll(io.LimitReader(rp.Body, maxBodyBytes))
 	if err != nil {
@@ -100,7 +94,7 @@
 		pending = append(pending, buf[:num]...)
 		if at := bytes.LastIndex(pending, eventEnd); at >= 0 {
 			if first {
-				if !ru.stopFirstByteTimer() {
+				if !ru.firstByte.stop() {
 					return fault.New(op, KindFirstByteTimeout, "server %s answered as the attempt timed out", pi.Server.ID)
 				}
 				first = false
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -48,16 +48,15 @@
 	callerCtx := ctx
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	ru.firstByteTimer = nil
+	ru.firstByte = nil
 	if ru.canRetry() {
-		timeout := max(minFirstByteTimeout, pi.FirstToken*firstByteTimeoutFactor)
-		service := ru.rq.Service
-		tm := time.AfterFunc(timeout, func() { cancel(fault.New(op, KindFirstByteTimeout, "no answer within %s", timeout)) })
-		ru.firstByteTimer = tm
-		defer tm.Stop()
+		timeout, service := max(minFirstByteTimeout, pi.FirstToken*firstByteTimeoutFactor), ru.rq.Service
+		fb := startFirstByteTimer(timeout, ru.canGoElsewhere(pi), cancel)
+		ru.firstByte = fb
+		defer fb.stop()
 		defer context.AfterFunc(pi.dial, func() {
-			if ru.rl.isSilent(service) && tm.Stop() {
-				cancel(fault.New(op, KindFirstByteTimeout, "the path to server %s is cut", pi.Server.ID))
+			if ru.rl.isSilent(service) {
+				fb.expire("the path to server %s is cut", pi.Server.ID)
 			}
 		})()
 	}
--- a/internal/edge/relay/detour.go
+++ b/internal/edge/relay/detour.go
@@ -287,14 +287,12 @@
 	rq, callerCtx := ru.rq, ctx
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	ru.firstByteTimer, ru.beganAt, ru.unsent = nil, time.Time{}, 0
+	ru.firstByte, ru.beganAt, ru.unsent = nil, time.Time{}, 0
 	attempts := rq.Route.MaxAttempts - runs
 	if ru.canRetry() {
 		attempts = max(1, attempts-1) // One is left for another node if this one fails.
-		ru.firstByteTimer = time.AfterFunc(forwardFirstByteTimeout, func() {
-			cancel(fault.New(op, KindFirstByteTimeout, "no answer through another node within %s", forwardFirstByteTimeout))
-		})
-		defer ru.firstByteTimer.Stop()
+		ru.firstByte = startFirstByteTimer(forwardFirstByteTimeout, func() bool { return true }, cancel)
+		defer ru.firstByte.stop()
 	}
 	via := ru.ex.(Forwardable)
 	header, body := via.Raw()
--- a/internal/edge/relay/dispatch.go
+++ b/internal/edge/relay/dispatch.go
@@ -44,11 +44,7 @@
 	se := rl.service(id)
 	pi.listAge = now.Sub(se.listReadAt)
 	pi.serversAge = now.Sub(time.Unix(0, rl.syncedAt.Load()))
-	ask.Gate = func(sv *server.Server) permit.Gate { return rl.permits.Gate(now, noticeServer(sv)) }
-	ask.Rest = nil
-	if !rl.rests.Empty() {
-		ask.Rest = func(sv *server.Server) (rest.State, time.Time) { return rl.rests.State(now, noticeServer(sv)) }
-	}
+	rl.setConditions(now, ask)
 	// A trial may have to be repeated elsewhere.
 	ask.Try = se.budget.HasReserve() && len(ask.Avoid) == 0
 	pi.Choice, found = se.fleet.Choose(now, ask)
@@ -69,6 +65,15 @@
 	return pi, true, true
 }
 
+// setConditions sets which servers take a request now. The caller holds mu.
+func (rl *Relay) setConditions(now time.Time, ask *place.Request) {
+	ask.Gate = func(sv *server.Server) permit.Gate { return rl.permits.Gate(now, noticeServer(sv)) }
+	ask.Rest = nil
+	if !rl.rests.Empty() {
+		ask.Rest = func(sv *server.Server) (rest.State, time.Time) { return rl.rests.State(now, noticeServer(sv)) }
+	}
+}
+
 func (rl *Relay) recordFirstByte(id units.TargetID, pi *picked) {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -24,7 +24,7 @@
 	// retried.
 	minRetryTime = 30 * time.Millisecond
 	// A retryable request waits firstByteTimeoutFactor times the predicted latency for the
-	// first byte, at least minFirstByteTimeout, before it is sent to another server.
+	// first byte, at least minFirstByteTimeout, before it is sent to another server, if there is one.
 	firstByteTimeoutFactor = 3
 	minFirstByteTimeout    = 600 * time.Millisecond
 	// noServerRetryAfter is the retry-after time sent if no server is usable.
@@ -51,8 +51,8 @@
 	// the request was handed to the kernel, 0 if there was no answer.
 	last   picked
 	unsent time.Duration
-	// firstByteTimer cancels a retryable attempt whose response has not started.
-	firstByteTimer *time.Timer
+	// firstByte cancels a retryable attempt whose response has not started, nil for others.
+	firstByte *firstByteTimer
 	// result is recorded with the server's health if the attempt got a response.
 	result place.Result
 	// failure is the error response of a server. It is sent to the caller if no retry
