An answer that comes before its request has been read is not lost with the send

What callers saw: a server that turns a request away without reading its body, and closes the connection, broke the send off. The caller got 502 for a request that had provably not run, it wasn't sent elsewhere, and a time of rest, a limit or that the server leaves was not heard.

Cause: the failure of a write ended the call although the answer stood in the receive buffer. It is read now, and the connection isn't used again.

Why it works: Linux keeps what was received before a reset. Without an answer there the read fails at once, or after 0.25 s, and the send's error stands.

--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -43,6 +43,8 @@
 	// userTimeout is how long sent bytes may stay unacknowledged before the kernel closes
 	// the connection. It detects servers that lost power or their network path.
 	userTimeout = 3 * time.Second
+	// earlyHeadTime bounds the wait for an answer on a connection that takes no more of the request.
+	earlyHeadTime = 250 * time.Millisecond
 )
 
 // Options configure a Caller. Zero values select the defaults.
@@ -114,6 +116,8 @@
 	cn        *conn
 	addr      string
 	stopAbort func() bool
+	// cut is set if the server closed the connection before it had read the request.
+	cut bool
 }
 
 // Do sends req to addr and reads the response header. With fresh it opens a new
@@ -158,12 +162,15 @@
 	}
 	an.First = !cn.used
 	cn.carry(co.Tag)
-	if err := send(cn, req); err != nil {
-		an.discard()
-		return nil, fault.Wrap(op, KindBroken, err)
-	}
+	err = send(cn, req)
 	an.SentAt = time.Now()
-	if err := an.readHead(); err != nil {
+	switch {
+	case err == nil:
+		err = an.readHead()
+	case ctx.Err() == nil:
+		err = an.readEarlyHead(err)
+	}
+	if err != nil {
 		an.discard()
 		return nil, fault.Wrap(op, KindBroken, err)
 	}
@@ -194,6 +201,16 @@
 	}
 }
 
+// readEarlyHead reads the header of an answer that the server gave before it closed the connection, on
+// which the request could not be sent whole. Without one it returns the error of the send.
+func (an *Answer) readEarlyHead(sendErr error) error {
+	an.cut = true
+	if an.cn.SetReadDeadline(time.Now().Add(earlyHeadTime)) != nil || an.readHead() != nil {
+		return sendErr
+	}
+	return an.cn.SetReadDeadline(time.Time{})
+}
+
 // Next discards the body, of at most limit bytes, and reads the next response on the same
 // connection. It is used if a response turns out to belong to an earlier request.
 func (an *Answer) Next(limit int) error {
@@ -346,7 +363,7 @@
 	if an.cn == nil {
 		return
 	}
-	if !an.Body.ended() || an.Header.ConnectionClose() {
+	if !an.Body.ended() || an.cut || an.Header.ConnectionClose() {
 		an.discard()
 		return
 	}
