A server's long rest is kept

What callers saw: nothing. A server that asks a node for an hour of rest got a request of that node every two minutes, 29 in all, where BUDGET allows two.

Cause: MaxRest cut each rest at two minutes, and each trial then was refused for two more. A server whose record states no start keeps the two minutes, since the next one with its id can't be told from it. A wrong huge value costs its own server the requests of the node that was answered until either starts again (lycheepick_servers_resting shows it), and nobody else.

--- a/internal/rule/rest/rest.go
+++ b/internal/rule/rest/rest.go
@@ -39,8 +39,15 @@
 )
 
 const (
-	// MaxRest bounds the time that a server can ask for.
-	MaxRest = 2 * time.Minute
+	// MaxRest bounds the time that a server can ask for. It ends with the server's incarnation, or after
+	// maxUnknownRest if the server doesn't state its start, since the next one with its id can't be told
+	// from it.
+	MaxRest        = 24 * time.Hour
+	maxUnknownRest = 2 * time.Minute
+	// forgetTime is how long servers are remembered that are sent nothing, and unlistedTime how long
+	// those in a rest are that are not in the list of servers.
+	forgetTime   = 2 * time.Minute
+	unlistedTime = time.Hour
 	// minBackoff is that after the first refusal without a time; it doubles with each trial that is
 	// refused, up to maxBackoff.
 	minBackoff = 100 * time.Millisecond
@@ -94,7 +101,7 @@
 		rc = &record{}
 		bo.refused[sv] = rc
 	}
-	longer := rest > 0 && bo.rests.Observe(now, now, sv, notice.Rest{For: min(rest, MaxRest), Named: true})
+	longer := rest > 0 && bo.rests.Observe(now, now, sv, notice.Rest{For: min(rest, longest(sv)), Named: true})
 	if longer {
 		rc.named = true
 		bo.told.Observe(now, now, sv, notice.Rest{For: min(rest, toldTime), Named: true})
@@ -111,6 +118,14 @@
 	return true
 }
 
+// longest returns the longest time that a server can ask for.
+func longest(sv notice.Server) time.Duration {
+	if sv.StartUnixMS == 0 {
+		return maxUnknownRest
+	}
+	return MaxRest
+}
+
 // Answered records that a server did not turn away a request sent at sentAt. The answer to a request
 // from before the latest refusal tells nothing.
 func (bo *Book) Answered(now, sentAt time.Time, sv notice.Server) {
@@ -226,7 +241,8 @@
 // Retain forgets the refusals of servers that are not listed, or that have been sent nothing for long.
 func (bo *Book) Retain(now time.Time, listed func(notice.Server) bool) {
 	for sv, rc := range bo.refused {
-		if bo.Left(now, sv) <= 0 && (!listed(sv) || now.Sub(rc.refusedAt) > MaxRest) {
+		since, rests := now.Sub(rc.refusedAt), bo.Left(now, sv) > 0
+		if !listed(sv) && (!rests || since > unlistedTime) || !rests && since > forgetTime {
 			delete(bo.refused, sv)
 		}
 	}
