What a server answers shortly after nobody waits any more is heard

What callers saw: beside a server that was full and refused after 0.1 s with a time of rest, clients that left after 0.05 s went on being sent there: 92 requests in a rest of 4 s (bound 2), 176 where the server was alone, and the next callers had a full server tried for them.

Cause: an attempt that ends without an answer closed its connection with a reset and forgot it, so that whatever the server was about to say was never read: a rest, a refusal, that it leaves, its limit. Callers that leave, deadlines, the time-out of the first byte and the sender of a detour all end attempts so.

The connection is now closed in the direction of the server, by which it learns at once that the caller is gone, and the head of its answer is waited for in the background for 0.25 s. Then, or with the answer, the connection is reset as before, so that a server which goes on regardless ends well within the half second of GONE and the 0.4 s of TWICE. At most 256 answers are waited for at a time, and none once the node stops.

Ruled out: hearing only what has arrived when the attempt ends; a server that takes 0.1 s has sent nothing after 0.05 s. What it doesn't hear: an answer that comes later than 0.25 s after its attempt has ended.

--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -69,6 +69,8 @@
 	opt  Options
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// listening holds a token for each answer that is waited for after the end of its call.
+	listening chan struct{}
 }
 
 // NewCaller returns a Caller with the default options.
@@ -85,7 +87,7 @@
 	if opt.MaxHeader <= 0 {
 		opt.MaxHeader = maxHeader
 	}
-	return &Caller{opt: opt, idle: map[string][]*conn{}}
+	return &Caller{opt: opt, idle: map[string][]*conn{}, listening: make(chan struct{}, maxListening)}
 }
 
 type conn struct {
@@ -95,6 +97,10 @@
 	// used is set once a request has been sent, and carried holds the tags of the latest ones.
 	used    bool
 	carried []string
+
+	mu sync.Mutex
+	// phase decides what the end of the call's context does to the connection.
+	phase phase
 }
 
 // maxCarried is the number of tags that a connection keeps. It is closed after that many tagged
@@ -141,6 +147,8 @@
 	// Proceed reports whether the request may still be sent once there is a connection, which
 	// may take as long as the dial timeout. Nil always does.
 	Proceed func() bool
+	// Late hears answers whose head comes after the end of the call's context, nil for none.
+	Late *Late
 }
 
 // DoIf is Do under conditions.
@@ -150,7 +158,8 @@
 	if err != nil {
 		return nil, fault.Wrap(op, KindNotSent, err)
 	}
-	stop := context.AfterFunc(ctx, cn.abort)
+	cn.setPhase(co.Late.phase())
+	stop := context.AfterFunc(ctx, cn.contextEnded)
 	an := &Answer{cl: cl, cn: cn, addr: addr, stopAbort: stop}
 	if err := ctx.Err(); err != nil {
 		an.discard()
@@ -171,10 +180,13 @@
 		err = an.readEarlyHead(err)
 	}
 	if err != nil {
-		an.discard()
+		an.giveUp(ctx, co.Late)
 		return nil, fault.Wrap(op, KindBroken, err)
 	}
 	an.Body = newBody(&an.Header, cn.rd)
+	if cn.setPhase(receives); ctx.Err() != nil {
+		cn.abort()
+	}
 	return an, nil
 }
 
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -69,15 +69,14 @@
 		Limited: func() bool { return !pi.limited && ru.rl.isLimited(&pi.Server) },
 		Resting: func() bool { return ru.rl.isResting(&pi.Server) },
 		Blocked: ru.isBlocked, Dial: pi.dial, OpenOnly: pi.openOnly,
+		Late: func(rp *Reply) { ru.rl.heardLate(ru.rq.Service, pi, rp) }, LateUntil: ru.rl.stopping,
 	})
 	if err != nil {
 		return ru.why(callerCtx, ctx, ru.orCut(pi, err))
 	}
 	defer rp.Close()
-	ru.rl.pathAnswered(ru.rq.Service)
 	ru.unsent = rp.SentAt.Sub(pi.sent)
-	ru.rl.observe(&pi.Server, rp)
-	ru.rl.observeRefusal(pi, rp)
+	ru.rl.heard(ru.rq.Service, pi, rp)
 	if rp.Refused || rp.Misdirected {
 		ru.rl.Counts.Refused.Add(1)
 		return fault.New(op, KindRefused, "server %s refused with status %d", pi.Server.ID, rp.Status)
--- a/internal/edge/relay/notices.go
+++ b/internal/edge/relay/notices.go
@@ -37,6 +37,20 @@
 	}
 }
 
+// heard records what the head of a response tells of its server and of the path there.
+func (rl *Relay) heard(id units.TargetID, pi *picked, rp *Reply) {
+	rl.pathAnswered(id)
+	rl.observe(&pi.Server, rp)
+	rl.observeRefusal(pi, rp)
+}
+
+// heardLate records what a response tells that came after its attempt had been cancelled.
+func (rl *Relay) heardLate(id units.TargetID, pi *picked, rp *Reply) {
+	rl.Counts.Late.Add(1)
+	rl.Log.Debug("late_answer", zap.String("server", string(pi.Server.ID)), zap.Int("status", rp.Status), zap.Duration("took", time.Since(pi.sent)))
+	rl.heard(id, pi, rp)
+}
+
 // observeRefusal records whether a server turned a request away, and the time of rest that it asked for.
 func (rl *Relay) observeRefusal(pi *picked, rp *Reply) {
 	now, id := time.Now(), noticeServer(&pi.Server)
@@ -52,7 +66,7 @@
 		rl.Counts.Rests.Add(1)
 	}
 	if news {
-		rl.Log.Info("server_refuses", zap.String("server", string(id.ID)), zap.Duration("rest", rp.Rest), zap.Int("status", rp.Status))
+		rl.Log.Info("server_refuses", zap.String("server", string(id.ID)), zap.Duration("rest", rp.Rest), zap.Int("status", rp.Status), zap.Duration("took", now.Sub(pi.sent)))
 	}
 }
 
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -124,6 +124,10 @@
 	// Blocked reports whether the request has come to be one that is refused. It has to be checked
 	// right before the request is sent.
 	Blocked func() bool
+	// Late is called with a response whose head comes shortly after the attempt has been cancelled, unless
+	// LateUntil has ended. Its body is not read.
+	Late      func(*Reply)
+	LateUntil context.Context
 }
 
 // Reply is the response of a backend server, with the body unread.
@@ -201,8 +205,8 @@
 	NoPermit, PermitsAsked, PermitsFailed, PermitsIssued atomic.Int64
 	Retries, Resumes                                     atomic.Int64
 	// Rests counts the answers by which servers asked for a rest, AllResting the requests refused
-	// since all servers had.
-	Rests, AllResting atomic.Int64
+	// since all servers had, and Late the answers that came after their attempt had been cancelled.
+	Rests, AllResting, Late atomic.Int64
 	// Detoured counts requests sent through other nodes, ForPeers those that other nodes sent
 	// through this one.
 	Detoured, ForPeers atomic.Int64
