A request that is given up on tells nothing of its server

What callers saw: at the end of a rest each request of a caller that left was a trial again, so that a server which refused all got 76 of 250 requests; and a server that takes 0.4 s to refuse got all that came in between at the end of each rest, 61 in six rests, each with a refused caller.

Causes, three of one kind, no answer taken for a good one or for none sent: - a trial that its caller ended counted as not sent. Now the next trial follows after a backoff of 0.25 to 1 s, and the answer to the first one is still heard; - a trial without an answer for 0.25 s freed the server for all. A server that takes longer to refuse has twice the time of its latest refusal now, 2 s at most. Requests wait for a trial for 0.25 s in all, as before, and are then told when to come back; - a server that had once named a time was tried again at once after a refusal without one. Whether a time is named is that of the latest refusal now. A server all of whose requests have been given up on for 0.9 s is avoided like one that refuses and names no time: beside others it gets trials. Nothing is told to other nodes.

--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -30,7 +30,7 @@
 	case fault.Is(err, KindCallerGone), fault.Is(err, KindDeadline), fault.Is(err, KindStopping):
 		res = place.Canceled
 	}
-	ru.rl.recordEnd(ru.rq.Service, pi, res)
+	ru.rl.recordEnd(ru.rq.Service, pi, res, err)
 	if err == nil || fault.Is(err, KindErrored) {
 		ru.recordCompleted()
 	}
@@ -75,6 +75,7 @@
 		return ru.why(callerCtx, ctx, ru.orCut(pi, err))
 	}
 	defer rp.Close()
+	pi.answered = true
 	ru.unsent = rp.SentAt.Sub(pi.sent)
 	ru.rl.heard(ru.rq.Service, pi, rp)
 	if rp.Refused || rp.Misdirected {
--- a/internal/edge/relay/detour.go
+++ b/internal/edge/relay/detour.go
@@ -177,12 +177,14 @@
 	case st == detour.Cut:
 		se.held = nil
 		se.fleet.Forgive(now)
+		rl.rests.Forgive()
 		se.abort()
 		rl.Log.Warn("path_cut", zap.String("service", string(id)), zap.Bool("open_connections", se.path.UsesOpenConnections()), zap.Error(err))
 	case se.dial.Err() != nil: // The path was cut, and works again.
 		rl.Log.Info("path_back", zap.String("service", string(id)), zap.Duration("cut", now.Sub(se.path.CutAt())))
 		se.returnedAt = now
 		se.fleet.Forgive(now)
+		rl.rests.Forgive()
 		se.dial, se.abort = context.WithCancel(context.Background())
 	}
 }
--- a/internal/edge/relay/dispatch.go
+++ b/internal/edge/relay/dispatch.go
@@ -26,8 +26,9 @@
 	// limited is set if the server named a limit when it was chosen, so that the dispatch took
 	// a permit.
 	limited bool
-	// tries is set if the request tries a server that has refused requests.
-	tries bool
+	// tries is set if the request tries a server that has refused requests, and answered once the head
+	// of the server's answer has come.
+	tries, answered bool
 	// detour is set if another node chose the server and sent the request there.
 	detour bool
 	// dial ends when the path to the servers is found to be cut, openOnly is set if it is cut and
@@ -82,14 +83,22 @@
 	rl.crashes.Heard(pi.sent, noticeServer(&pi.Server))
 }
 
-func (rl *Relay) recordEnd(id units.TargetID, pi *picked, res place.Result) {
+// recordEnd records how an attempt ended, and with which error.
+func (rl *Relay) recordEnd(id units.TargetID, pi *picked, res place.Result, err error) {
 	rl.mu.Lock()
 	se := rl.service(id)
-	if res == place.Incomplete && se.blamesPath(pi.sent) {
+	blamesPath := se.blamesPath(pi.sent)
+	if res == place.Incomplete && blamesPath {
 		res = place.Canceled
 	}
-	if pi.tries && res == place.Canceled {
-		rl.rests.NotSent(noticeServer(&pi.Server))
+	switch sv := noticeServer(&pi.Server); {
+	case pi.answered:
+	case isNotSent(err), blamesPath:
+		if pi.tries {
+			rl.rests.NotSent(sv)
+		}
+	default:
+		rl.rests.GaveUp(time.Now(), pi.sent, sv)
 	}
 	change := se.fleet.End(time.Now(), pi.Server.ID, pi.ticket, res)
 	rl.mu.Unlock()
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -13,6 +13,7 @@
 	"lycheepick/internal/rule/crash"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/place"
+	"lycheepick/internal/rule/rest"
 	"lycheepick/internal/state/answer"
 	"lycheepick/internal/state/routes"
 )
@@ -68,6 +69,8 @@
 	// forwarded is set if another node forwarded the request, and counted if the request is in
 	// that node's demand. noOpen is set once no open connection was left on a path that is cut.
 	forwarded, counted, noOpen bool
+	// waited is the time for which the request has waited for trials.
+	waited time.Duration
 	// refusal is what another node refused the request with.
 	refusal *Refusal
 }
@@ -247,14 +250,15 @@
 }
 
 // awaitTrial waits while a server that no request may follow yet is being tried. It returns false if
-// there is none.
+// there is none, or if the request has waited for rest.TrialTime.
 func (ru *run) awaitTrial(ctx context.Context) bool {
 	const step = 5 * time.Millisecond
 	waits := ru.rl.isTrying(ru.rq.Service)
 	for waits && ru.rl.isTrying(ru.rq.Service) {
-		if !pause.For(ctx, step) {
+		if ru.waited >= rest.TrialTime || !pause.For(ctx, step) {
 			return false
 		}
+		ru.waited += step
 	}
 	return waits
 }
--- a/internal/rule/rest/rest.go
+++ b/internal/rule/rest/rest.go
@@ -6,6 +6,10 @@
 // least loaded of all. After either time one request tries the server, and the others follow once it
 // was not refused.
 //
+// A request that is given up on before its answer tells neither that the server refuses nor that it is
+// well: a trial that ends so is followed by another one after a backoff. A server all of whose
+// requests have ended so for a while is avoided like one that refuses and names no time.
+//
 // A server asks each node by itself, and may serve the others. They hear of it for a short time and avoid
 // it as one that names no time, so that not each of hundreds of nodes has to be refused first.
 //
@@ -13,6 +17,7 @@
 package rest
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -24,12 +29,12 @@
 
 // The states, from the one that is preferred.
 const (
-	// Free servers have not refused a request lately.
+	// Free servers have answered, and not refused, the latest request.
 	Free State = iota
 	// Due servers may be tried by one request.
 	Due
-	// Doubted servers have refused a request and named no time, or are being tried. They get requests
-	// that no other server takes.
+	// Doubted servers have refused a request and named no time, have not answered for a while, or are
+	// being tried. They get requests that no other server takes.
 	Doubted
 	// Warned servers have asked another node for a rest, and not this one. They get requests that no
 	// other server takes, but no repeats.
@@ -52,8 +57,12 @@
 	// refused, up to maxBackoff.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
-	// TrialTime is the time within which a server would have refused a trial.
-	TrialTime = 250 * time.Millisecond
+	// TrialTime is the least time within which a server would have refused a trial. A server that takes
+	// longer to refuse has twice the time that its latest refusal took, at most maxTrialTime.
+	TrialTime    = 250 * time.Millisecond
+	maxTrialTime = 2 * time.Second
+	// silentTime is the time after which a server counts as silent whose requests are all given up on.
+	silentTime = 900 * time.Millisecond
 	// maxSpread bounds the time by which nodes that heard the same answer at once differ in when they
 	// try the server, and spreadShare is its share of the time of rest.
 	maxSpread   = 300 * time.Millisecond
@@ -66,16 +75,28 @@
 	returnSpread = 300 * time.Millisecond
 )
 
-// record is a server that has refused requests since it last answered otherwise.
+// record is a server that has refused requests, or answered none, since it last answered otherwise.
 type record struct {
-	// refusedAt is when the latest refusal came that set the times, and until the end of the backoff.
+	// refusedAt is when the latest refusal came that set the times, zero for none, and until the end of
+	// the backoff.
 	refusedAt, until time.Time
 	backoff          time.Duration
-	// named is set if the server has named a time, and spread is what is added to it.
-	named  bool
-	spread time.Duration
+	// named is set if the latest refusal named a time, spread is what is added to it, and took is the time
+	// from that request to the refusal.
+	named        bool
+	spread, took time.Duration
 	// triedAt is when the trial in progress was sent, zero if there is none.
 	triedAt time.Time
+	// silentSince is when the first request was sent that was given up on.
+	silentSince time.Time
+}
+
+// trialTime returns the time within which the server would have refused a trial.
+func (rc *record) trialTime() time.Duration { return min(max(TrialTime, 2*rc.took), maxTrialTime) }
+
+// isTried reports whether a trial is in progress that the server may still refuse.
+func (rc *record) isTried(now time.Time) bool {
+	return !rc.triedAt.IsZero() && now.Sub(rc.triedAt) < rc.trialTime()
 }
 
 // Book holds the servers that refuse requests of one node.
@@ -114,7 +135,11 @@
 		bo.told.Observe(now, now, sv, notice.Rest{For: toldBackoff})
 	}
 	rc.backoff = min(max(minBackoff, 2*rc.backoff), maxBackoff)
+	rc.named, rc.took = rest > 0, now.Sub(sentAt)
 	rc.refusedAt, rc.until, rc.triedAt = now, now.Add(rc.backoff), time.Time{}
+	if rc.named {
+		rc.until = now
+	}
 	return true
 }
 
@@ -126,6 +151,26 @@
 	return MaxRest
 }
 
+// GaveUp records that a request sent at sentAt ended before the server had answered it. That tells
+// nothing of the server, so that a trial has to be followed by another one.
+func (bo *Book) GaveUp(now, sentAt time.Time, sv notice.Server) {
+	rc := bo.refused[sv]
+	if rc == nil {
+		bo.refused[sv] = &record{silentSince: sentAt}
+		return
+	}
+	if rc.triedAt.IsZero() || !rc.triedAt.Equal(sentAt) {
+		return
+	}
+	rc.backoff = min(max(TrialTime, 2*rc.backoff), maxBackoff)
+	rc.until, rc.triedAt = now.Add(rc.backoff), time.Time{}
+}
+
+// Forgive forgets the servers that have refused nothing, since it was not theirs that they gave no answers.
+func (bo *Book) Forgive() {
+	maps.DeleteFunc(bo.refused, func(_ notice.Server, rc *record) bool { return rc.refusedAt.IsZero() })
+}
+
 // Answered records that a server did not turn away a request sent at sentAt. The answer to a request
 // from before the latest refusal tells nothing.
 func (bo *Book) Answered(now, sentAt time.Time, sv notice.Server) {
@@ -139,7 +184,9 @@
 // never. Of Doubted servers the one that did so first is the most likely to have recovered.
 func (bo *Book) State(now time.Time, sv notice.Server) (State, time.Time) {
 	if rc := bo.refused[sv]; rc != nil {
-		return bo.state(now, sv, rc), rc.refusedAt
+		if st := bo.state(now, sv, rc); st != Free || !rc.refusedAt.IsZero() {
+			return st, rc.refusedAt
+		}
 	}
 	// Without a time, since all nodes would prefer the same server by its age.
 	told := bo.told.Get(sv)
@@ -156,14 +203,16 @@
 	switch {
 	case bo.Left(now, sv) > 0:
 		return Resting
-	case !rc.triedAt.IsZero() && now.Sub(rc.triedAt) >= TrialTime:
+	case !rc.triedAt.IsZero() && !rc.isTried(now):
+		return Free
+	case rc.refusedAt.IsZero() && now.Sub(rc.silentSince) < silentTime:
 		return Free
-	case !rc.triedAt.IsZero() && rc.named:
+	case rc.triedAt.IsZero() && !now.Before(rc.until):
+		return Due
+	case rc.named:
 		return Resting
-	case !rc.triedAt.IsZero() || !rc.named && now.Before(rc.until):
-		return Doubted
 	}
-	return Due
+	return Doubted
 }
 
 // Merge records what a peer has heard, as of a time.
@@ -202,6 +251,9 @@
 	least := time.Duration(0)
 	for _, sv := range list {
 		left := max(bo.Left(now, sv), bo.told.Get(sv).For-bo.told.Age(now, sv))
+		if rc := bo.refused[sv]; rc != nil && rc.named {
+			left = max(left, rc.until.Sub(now), rc.triedAt.Add(rc.trialTime()).Sub(now))
+		}
 		if left <= 0 {
 			return 0
 		}
@@ -235,13 +287,13 @@
 // Trying reports whether a server that has named a time is being tried.
 func (bo *Book) Trying(now time.Time, sv notice.Server) bool {
 	rc := bo.refused[sv]
-	return rc != nil && bo.Left(now, sv) <= 0 && !rc.triedAt.IsZero() && now.Sub(rc.triedAt) < TrialTime
+	return rc != nil && !rc.refusedAt.IsZero() && bo.Left(now, sv) <= 0 && rc.isTried(now)
 }
 
 // Retain forgets the refusals of servers that are not listed, or that have been sent nothing for long.
 func (bo *Book) Retain(now time.Time, listed func(notice.Server) bool) {
 	for sv, rc := range bo.refused {
-		since, rests := now.Sub(rc.refusedAt), bo.Left(now, sv) > 0
+		since, rests := now.Sub(later(rc.refusedAt, rc.silentSince)), bo.Left(now, sv) > 0
 		if !listed(sv) && (!rests || since > unlistedTime) || !rests && since > forgetTime {
 			delete(bo.refused, sv)
 		}
@@ -249,3 +301,10 @@
 	bo.told.Retain(now, listed)
 	bo.rests.Retain(now, func(sv notice.Server) bool { return bo.refused[sv] != nil })
 }
+
+func later(one, two time.Time) time.Time {
+	if one.After(two) {
+		return one
+	}
+	return two
+}
--- a/internal/rule/rest/rest_test.go
+++ b/internal/rule/rest/rest_test.go
@@ -91,6 +91,57 @@
 			bo.Sent(at(1200), first)
 			bo.NotSent(first)
 		}, 1210, rest.Due},
+		{"a trial that is given up on", func(bo *rest.Book) {
+			bo.Refused(at(10), at(0), first, second)
+			bo.Sent(at(1200), first)
+			bo.GaveUp(at(1250), at(1200), first)
+		}, 1260, rest.Resting},
+		{"given up on some time ago", func(bo *rest.Book) {
+			bo.Refused(at(10), at(0), first, second)
+			bo.Sent(at(1200), first)
+			bo.GaveUp(at(1250), at(1200), first)
+		}, 1510, rest.Due},
+		{"trials given up on, many requests beside", func(bo *rest.Book) {
+			bo.Refused(at(10), at(0), first, 0)
+			bo.Sent(at(200), first)
+			bo.GaveUp(at(250), at(200), first)
+			bo.GaveUp(at(260), at(190), first)
+		}, 270, rest.Doubted},
+		{"a trial that is answered late", func(bo *rest.Book) {
+			bo.Refused(at(10), at(0), first, second)
+			bo.Sent(at(1200), first)
+			bo.GaveUp(at(1250), at(1200), first)
+			bo.Answered(at(1300), at(1200), first)
+		}, 1310, rest.Free},
+		{"a trial that is refused late", func(bo *rest.Book) {
+			bo.Refused(at(10), at(0), first, second)
+			bo.Sent(at(1200), first)
+			bo.GaveUp(at(1250), at(1200), first)
+			bo.Refused(at(1300), at(1200), first, second)
+		}, 2290, rest.Resting},
+		{"a trial of a server that takes 0.4 s to refuse", func(bo *rest.Book) {
+			bo.Refused(at(400), at(0), first, second)
+			bo.Sent(at(1800), first)
+		}, 2590, rest.Resting},
+		{"it isn't refused in twice that time", func(bo *rest.Book) {
+			bo.Refused(at(400), at(0), first, second)
+			bo.Sent(at(1800), first)
+		}, 2610, rest.Free},
+		{"named a time, then none", func(bo *rest.Book) {
+			bo.Refused(at(10), at(0), first, second)
+			bo.Sent(at(1200), first)
+			bo.Refused(at(1210), at(1200), first, 0)
+		}, 1300, rest.Doubted},
+		{"given up on for a moment", func(bo *rest.Book) { bo.GaveUp(at(100), at(0), first) }, 800, rest.Free},
+		{"given up on for a while", func(bo *rest.Book) { bo.GaveUp(at(100), at(0), first) }, 1000, rest.Due},
+		{"answered since", func(bo *rest.Book) {
+			bo.GaveUp(at(100), at(0), first)
+			bo.Answered(at(200), at(10), first)
+		}, 1000, rest.Free},
+		{"the path was cut", func(bo *rest.Book) {
+			bo.GaveUp(at(100), at(0), first)
+			bo.Forgive()
+		}, 1000, rest.Free},
 		{"another node heard of a rest", func(bo *rest.Book) {
 			bo.Merge(at(10), at(10), []notice.Heard[notice.Rest]{{Server: first, Value: notice.Rest{For: 2 * second, Named: true}}})
 		}, 1900, rest.Warned},
