An attempt that times out has its retry before it is cancelled

What callers saw: of 20 repeatable requests to two slow servers one got 502: its attempt was cancelled for a retry that another request then took from the budget.

Cause: the timer asked whether the budget had a retry, and the request took it later. The timer takes it now, and gives it back if the response began meanwhile.

--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -51,12 +51,12 @@
 	ru.firstByte = nil
 	if ru.canRetry() {
 		timeout, service := max(minFirstByteTimeout, pi.FirstToken*firstByteTimeoutFactor), ru.rq.Service
-		fb := startFirstByteTimer(timeout, ru.canGoElsewhere(pi), cancel)
+		fb := ru.newFirstByteTimer(pi).start(timeout, cancel)
 		ru.firstByte = fb
 		defer fb.stop()
 		defer context.AfterFunc(pi.dial, func() {
 			if ru.rl.isSilent(service) {
-				fb.expire("the path to server %s is cut", pi.Server.ID)
+				fb.expire(false, "the path to server %s is cut", pi.Server.ID)
 			}
 		})()
 	}
--- a/internal/edge/relay/detour.go
+++ b/internal/edge/relay/detour.go
@@ -293,7 +293,7 @@
 	attempts := rq.Route.MaxAttempts - runs
 	if ru.canRetry() {
 		attempts = max(1, attempts-1) // One is left for another node if this one fails.
-		ru.firstByte = startFirstByteTimer(forwardFirstByteTimeout, func() bool { return true }, cancel)
+		ru.firstByte = (&firstByteTimer{}).start(forwardFirstByteTimeout, cancel)
 		defer ru.firstByte.stop()
 	}
 	via := ru.ex.(Forwardable)
--- a/internal/edge/relay/firstbyte.go
+++ b/internal/edge/relay/firstbyte.go
@@ -20,39 +20,53 @@
 // elsewhere. A nil timer never does.
 type firstByteTimer struct {
 	timeout time.Duration
-	// canRetry reports whether the request can go elsewhere.
-	canRetry func() bool
-	cancel   context.CancelCauseFunc
+	// takeRetry takes a retry from the budget if the request can go elsewhere, and returnRetry gives it back.
+	// They are nil if the attempt is cancelled in any case.
+	takeRetry   func() bool
+	returnRetry func()
+	// paid is set if the retry that follows has been taken from the budget.
+	paid   atomic.Bool
+	cancel context.CancelCauseFunc
 	// ended is set by whichever comes first: the response, or the end of the wait for it. stopped is set if
 	// it was the response.
 	ended, stopped atomic.Bool
 	timer          *time.Timer
 }
 
-func startFirstByteTimer(timeout time.Duration, canRetry func() bool, cancel context.CancelCauseFunc) *firstByteTimer {
-	fb := &firstByteTimer{timeout: timeout, canRetry: canRetry, cancel: cancel}
+func (fb *firstByteTimer) start(timeout time.Duration, cancel context.CancelCauseFunc) *firstByteTimer {
+	fb.timeout, fb.cancel = timeout, cancel
 	fb.timer = time.AfterFunc(math.MaxInt64, fb.check)
 	fb.timer.Reset(timeout)
 	return fb
 }
 
 func (fb *firstByteTimer) check() {
+	const reason = "no answer within %s"
 	switch {
 	case fb.ended.Load():
-	case fb.canRetry():
-		fb.expire("no answer within %s", fb.timeout)
-	default:
+	case fb.takeRetry == nil:
+		fb.expire(false, reason, fb.timeout)
+	case !fb.takeRetry():
 		fb.timer.Reset(firstByteCheckPeriod)
+	case !fb.expire(true, reason, fb.timeout):
+		fb.returnRetry()
 	}
 }
 
-// expire cancels the attempt, unless its response has begun.
-func (fb *firstByteTimer) expire(format string, args ...any) {
-	if fb.ended.CompareAndSwap(false, true) {
-		fb.cancel(fault.New("relay.attempt", KindFirstByteTimeout, format, args...))
+// expire cancels the attempt. It returns false if its response has begun. paid is set if the retry has been
+// taken from the budget.
+func (fb *firstByteTimer) expire(paid bool, format string, args ...any) bool {
+	if !fb.ended.CompareAndSwap(false, true) {
+		return false
 	}
+	fb.paid.Store(paid)
+	fb.cancel(fault.New("relay.attempt", KindFirstByteTimeout, format, args...))
+	return true
 }
 
+// hasPaid reports whether the retry after the attempt has been taken from the budget.
+func (fb *firstByteTimer) hasPaid() bool { return fb != nil && fb.paid.Load() }
+
 // stop ends the wait. It returns false if the attempt has been cancelled.
 func (fb *firstByteTimer) stop() bool {
 	if fb == nil {
@@ -65,24 +79,27 @@
 	return fb.stopped.Load()
 }
 
-// canGoElsewhere returns a function that reports whether another server than the one of the current
-// attempt would take the request as a retry, and the budget has one.
-func (ru *run) canGoElsewhere(pi *picked) func() bool {
+// newFirstByteTimer returns a timer for an attempt that is cancelled if another server would take the request
+// as a retry, and the budget has one.
+func (ru *run) newFirstByteTimer(pi *picked) *firstByteTimer {
 	rl, id, ask := ru.rl, ru.rq.Service, ru.ask
 	ask.Avoid = append(slices.Clone(ask.Avoid), pi.Server.ID)
-	return func() bool { return rl.takesRetry(id, &ask) }
+	return &firstByteTimer{takeRetry: func() bool { return rl.takeRetry(id, &ask) }, returnRetry: func() { rl.returnRetry(id) }}
 }
 
-// takesRetry reports whether a server would take a request as a retry, and the budget has one.
-func (rl *Relay) takesRetry(id units.TargetID, ask *place.Request) bool {
+// takeRetry takes a retry from the budget if a server would take the request.
+func (rl *Relay) takeRetry(id units.TargetID, ask *place.Request) bool {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	se, now := rl.service(id), time.Now()
-	if !se.budget.CanSpend() {
-		return false
-	}
 	ask.Try = false
 	rl.setConditions(now, ask)
 	_, found := se.fleet.Choose(now, ask)
-	return found
+	return found && se.budget.Spend()
+}
+
+func (rl *Relay) returnRetry(id units.TargetID) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rl.service(id).budget.Return()
 }
--- a/internal/rule/retry/retry.go
+++ b/internal/rule/retry/retry.go
@@ -33,15 +33,15 @@
 
 // Spend takes one retry from the budget, or returns false if none is left.
 func (bu *Budget) Spend() bool {
-	if !bu.CanSpend() {
+	if bu.tokens < 1 {
 		return false
 	}
 	bu.tokens--
 	return true
 }
 
-// CanSpend tells whether a retry is left.
-func (bu *Budget) CanSpend() bool { return bu.tokens >= 1 }
+// Return gives a retry back that was not made.
+func (bu *Budget) Return() { bu.tokens = min(bu.capacity, bu.tokens+1) }
 
 // HasReserve tells whether at least half of the budget is left, so that a retry which could be avoided
 // takes none from those that can't.
