A service whose servers are all slow is not taken for gone

Cause: a server without any answer for 0.9 s was avoided for 2 s whatever it usually takes, also after it had answered meanwhile, and a time-out of the first byte counted against its health. Three changes of one kind, slow is not gone: - a server's time is twice its usual one (smoothed, without the prompt's part), at least the 0.9 s; so is the time-out of the first byte, at least 0.6 s; - an answer ends the avoidance; - until any server of the service has answered, one that is silent is chosen if there is no other, and its time-outs count against nothing.

The other side: TestHangingServiceIsRefused, servers that answered at once and then hang are refused at once as before. Ruled out: choosing silent servers in any case: a service that hangs would hold its callers until their deadlines.

--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -25,6 +25,8 @@
 		res, evidence = place.Canceled, answer.NotSent
 	case fault.Is(err, KindNotSent):
 		evidence = answer.NotSent
+	case fault.Is(err, KindFirstByteTimeout):
+		res = place.Silent
 	case fault.Is(err, KindErrored):
 		res = place.Errored
 	case fault.Is(err, KindCallerGone), fault.Is(err, KindDeadline), fault.Is(err, KindStopping):
@@ -50,7 +52,7 @@
 	defer cancel(nil)
 	ru.firstByte = nil
 	if ru.canRetry() {
-		timeout, service := max(minFirstByteTimeout, pi.FirstToken*firstByteTimeoutFactor), ru.rq.Service
+		timeout, service := max(minFirstByteTimeout, pi.FirstToken*firstByteTimeoutFactor, pi.Usual*place.UsualFactor), ru.rq.Service
 		fb := ru.newFirstByteTimer(pi).start(timeout, cancel)
 		ru.firstByte = fb
 		defer fb.stop()
--- a/internal/edge/relay/dispatch.go
+++ b/internal/edge/relay/dispatch.go
@@ -88,7 +88,7 @@
 	rl.mu.Lock()
 	se := rl.service(id)
 	blamesPath := se.blamesPath(pi.sent)
-	if res == place.Incomplete && blamesPath {
+	if (res == place.Incomplete || res == place.Silent) && blamesPath {
 		res = place.Canceled
 	}
 	switch sv := noticeServer(&pi.Server); {
--- a/internal/rule/place/fleet.go
+++ b/internal/rule/place/fleet.go
@@ -130,11 +130,12 @@
 	if st == nil {
 		return
 	}
-	st.lastResponse = now
+	fl.responded(now, st)
 	di, ok := st.awaitingFirst[ti]
 	if !ok {
 		return
 	}
+	st.observe(now.Sub(di.at) - fl.prefillTime(di.uncached, 1))
 	delete(st.awaitingFirst, ti)
 	st.ownLoad.PendingPrefill -= di.uncached
 	if took := now.Sub(di.at) - baseLatency; di.queueEmpty && di.uncached >= minRateSample && took > 0 {
@@ -143,6 +144,14 @@
 	}
 }
 
+// observe takes a sample of the time until the server begins an answer.
+func (st *serverState) observe(sample time.Duration) {
+	if sample = max(sample, 1); st.usual == 0 {
+		st.usual = sample
+	}
+	st.usual += time.Duration(usualWeight * float64(sample-st.usual))
+}
+
 // Result tells how an attempt ended.
 type Result int
 
@@ -156,6 +165,8 @@
 	Errored
 	// Incomplete is a response that is missing or truncated.
 	Incomplete
+	// Silent is a response that did not begin in time.
+	Silent
 	// Canceled is an attempt that this node ended, which says nothing about the server.
 	Canceled
 )
@@ -171,19 +182,22 @@
 		st.ownLoad.PendingPrefill -= di.uncached
 	}
 	st.ownLoad.Running = max(0, st.ownLoad.Running-1)
+	if res == Silent && !fl.answered {
+		res = Canceled // All servers may be slow.
+	}
 	switch res {
 	case Succeeded:
-		st.lastResponse = now
+		fl.responded(now, st)
 		st.errorRate *= 1 - errorWeight
 		return st.health.Succeeded()
 	case Errored:
-		st.lastResponse = now
+		fl.responded(now, st)
 		st.errorRate += (1 - st.errorRate) * errorWeight
-	case Incomplete:
+	case Incomplete, Silent:
 		st.errorRate += (1 - st.errorRate) * errorWeight
 		return st.health.Failed(now)
 	case Refused:
-		st.lastResponse = now
+		fl.responded(now, st)
 	case Canceled:
 	}
 	return retry.Unchanged
--- a/internal/rule/place/place.go
+++ b/internal/rule/place/place.go
@@ -67,6 +67,8 @@
 	FirstToken time.Duration
 	// Uncached is the number of prompt tokens that the server has to compute.
 	Uncached units.Tokens
+	// Usual is the time that the server usually takes to the first byte, besides that for the prompt.
+	Usual time.Duration
 	// SpareCapacity is set if under half of the slots of all servers are in use.
 	SpareCapacity bool
 	// Held is the server that would have been chosen with a permit that can be asked for, nil if
@@ -100,9 +102,13 @@
 	errorPenalty = 2 * time.Second
 	// errorWeight is the weight of one response in the smoothed error rate.
 	errorWeight = 0.12
-	// unresponsiveTimeout is the time without any response to a request after which new
-	// requests avoid the server.
+	// unresponsiveTimeout is the least time without any response to a request after which new
+	// requests avoid the server. One that usually takes long has UsualFactor times its usual time.
 	unresponsiveTimeout = 900 * time.Millisecond
+	// UsualFactor is the ratio to a server's usual time to the first byte from which a response is late.
+	UsualFactor = 2
+	// usualWeight is the weight of one response in that time.
+	usualWeight = 0.2
 	// unresponsiveBackoff is how long an unresponsive server is avoided before it gets
 	// requests again.
 	unresponsiveBackoff = 2 * time.Second
@@ -125,6 +131,9 @@
 	lastResponse  time.Time
 	awaitingFirst map[Ticket]dispatch
 	avoidUntil    time.Time
+	// usual is the smoothed time until the server begins an answer, besides that which the prompt takes,
+	// 0 before the first one.
+	usual time.Duration
 }
 
 type peerLoad struct {
@@ -147,6 +156,8 @@
 	servers     []*serverState
 	byID        map[units.VMID]*serverState
 	lastTicket  Ticket
+	// answered is set once any server has begun an answer.
+	answered bool
 	// peerCount is the number of peers that report.
 	peerCount    int
 	recentBlocks []sentBlock
@@ -167,15 +178,17 @@
 }
 
 // Choose picks the server with the lowest cost: the predicted time to the first token plus
-// penalties. ok is false if none is usable, or all usable ones are to be avoided or need a
-// permit.
+// penalties. Servers that have not answered in time may just be slow, as long as no server of the service
+// has answered at all: one is chosen if there is no other. ok is false if none is usable, or all usable ones are to be avoided or
+// need a permit.
 func (fl *Fleet) Choose(now time.Time, rq *Request) (ch Choice, ok bool) {
 	preferred := fl.preferred(now, rq)
 	// best is the best server that takes the request now, first the best one of all.
 	var best, first candidate
 	inUse, slots := 0, 0
 	for _, st := range fl.servers {
-		if !fl.usable(now, st) {
+		usable := fl.usable(now, st)
+		if !usable && !fl.mayBeSlow(now, st) {
 			continue
 		}
 		if rq.Version != nil && st.Version != *rq.Version {
@@ -190,7 +203,7 @@
 			continue
 		}
 		lo := fl.totalLoad(now, st)
-		if gate == permit.Open && state < rest.Doubted {
+		if usable && gate == permit.Open && state < rest.Doubted {
 			inUse += lo.Running
 			slots += max(st.Slots, 1)
 		}
@@ -203,13 +216,13 @@
 			score += otherZonePenalty
 		}
 		score += preferred.penalty(st)
-		ca := candidate{server: st, state: state, refusedAt: refusedAt, score: score}
+		ca := candidate{server: st, silent: !usable, state: state, refusedAt: refusedAt, score: score}
 		if ca.before(&first) {
 			first = ca
 		}
 		if gate == permit.Open && ca.before(&best) {
 			best = ca
-			ch = Choice{Server: st.Server, FirstToken: latency, Uncached: uncached}
+			ch = Choice{Server: st.Server, FirstToken: latency, Uncached: uncached, Usual: st.usual}
 		}
 	}
 	if first.server != best.server {
@@ -223,6 +236,8 @@
 // candidate is a server with its score, of which the lowest is best.
 type candidate struct {
 	server *serverState
+	// silent is set if the server has not answered in time.
+	silent bool
 	state  rest.State
 	// refusedAt is when the server last refused a request.
 	refusedAt time.Time
@@ -234,6 +249,8 @@
 	switch {
 	case other.server == nil:
 		return true
+	case ca.silent != other.silent:
+		return other.silent
 	case ca.state != other.state:
 		return ca.state < other.state
 	case ca.state == rest.Doubted && !ca.refusedAt.Equal(other.refusedAt):
@@ -368,6 +385,17 @@
 	return !fl.unresponsive(now, st)
 }
 
+// mayBeSlow tells whether a server that is not usable has done no more than to take long for the first
+// answers of all.
+func (fl *Fleet) mayBeSlow(now time.Time, st *serverState) bool {
+	return !fl.answered && !st.Draining && st.health.Usable() && fl.unresponsive(now, st)
+}
+
+// responded records that a server has begun an answer.
+func (fl *Fleet) responded(now time.Time, st *serverState) {
+	fl.answered, st.lastResponse, st.avoidUntil = true, now, time.Time{}
+}
+
 // unresponsive tells whether a server is avoided because it has not responded in time. It
 // starts the backoff of a server that has just exceeded the timeout.
 func (fl *Fleet) unresponsive(now time.Time, st *serverState) bool {
@@ -375,7 +403,7 @@
 		return true
 	}
 	for _, di := range st.awaitingFirst {
-		timeout := unresponsiveTimeout + fl.prefillTime(di.uncached, 2)
+		timeout := max(unresponsiveTimeout, UsualFactor*st.usual) + fl.prefillTime(di.uncached, 2)
 		if now.Sub(di.at) > timeout && st.lastResponse.Before(di.at) {
 			st.avoidUntil = now.Add(unresponsiveBackoff)
 			st.lastResponse = now
