A kept connection that doesn't answer its keep-alive probes is not used

Cause: an idle connection counted as usable unless it was closed or had unread bytes. The kernel knows of probes without an answer (TCP_INFO) and is asked now. Then a new connection is opened, of which no byte is sent if it doesn't stand.

--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -317,12 +317,19 @@
 	_ = cn.Close()
 }
 
-// isReusable reports whether an idle connection is open and has no unread bytes. Bytes
-// received after a complete response belong to no request.
+// prober is a connection that reports itself whether keep-alive probes have gone unanswered.
+type prober interface{ Unanswered() bool }
+
+// isReusable reports whether an idle connection is open, has no unread bytes and answers its keep-alive
+// probes. Bytes received after a complete response belong to no request. What is sent on a connection that
+// is silent may reach the server long after the request has been given up.
 func (cn *conn) isReusable() bool {
 	if cn.rd.Buffered() > 0 {
 		return false
 	}
+	if pr, ok := cn.Conn.(prober); ok && pr.Unanswered() {
+		return false
+	}
 	sc, ok := cn.Conn.(syscall.Conn)
 	if !ok {
 		return true
@@ -336,6 +343,9 @@
 		var one [1]byte
 		_, _, rerr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		open = rerr == syscall.EAGAIN
+		if info, ierr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); ierr == nil && info.Probes > 0 {
+			open = false
+		}
 		return true
 	})
 	return err == nil && open
