The OpenAI address remembers servers that refuse

What callers saw: at the OpenAI address, beside an idle server, 167 of 190 requests failed since another one refused all: it ran nothing, so that its load was the lowest, drew each next request, and each cost a repeat. Of the 190, 142 reached it later than 0.5 s after it had asked for 2 s of rest (bound 2); alone 156.

It uses internal/rule/rest now: a server that names a time gets nothing until then, one that names none gets what no other takes, one request tries it again. A request that all usable servers have asked to hold back is refused at once with their time.

Not done there: answers that come after their request has ended are not heard; other nodes aren't told.

--- a/internal/edge/engine/engine.go
+++ b/internal/edge/engine/engine.go
@@ -17,6 +17,7 @@
 
 	"lycheepick/internal/edge/call"
 	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/rest"
 	"lycheepick/internal/rule/units"
 )
 
@@ -162,6 +163,11 @@
 		string(an.Header.Peek(HeaderAttempt)) == strconv.Itoa(int(att))
 }
 
+// Refusal adds to the error of an answer the time for which the server wants nothing from this node.
+func Refusal(an *call.Answer, err error) error {
+	return fault.WithRetryAfter(err, rest.Parse(an.Header.PeekAll(fasthttp.HeaderRetryAfter)))
+}
+
 func isRefusal(err error) bool { return fault.Is(err, KindRefused) || fault.Is(err, KindDraining) }
 
 func checkHead(an *call.Answer) error {
@@ -176,7 +182,7 @@
 	case refused == RefusedDraining:
 		return fault.New(op, KindDraining, "status %d", code)
 	case refused != "":
-		return fault.New(op, KindRefused, "status %d: %s", code, refused)
+		return Refusal(an, fault.New(op, KindRefused, "status %d: %s", code, refused))
 	case code >= fasthttp.StatusBadRequest && code < fasthttp.StatusInternalServerError:
 		return fault.New(op, KindInvalid, "status %d: %s", code, bytes.TrimSpace(text))
 	}
--- a/internal/edge/fleet/fleet.go
+++ b/internal/edge/fleet/fleet.go
@@ -3,12 +3,14 @@
 package fleet
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"lycheepick/internal/edge/engine"
 	"lycheepick/internal/plat/cloud"
+	"lycheepick/internal/rule/rest"
 	"lycheepick/internal/rule/retry"
 	"lycheepick/internal/rule/route"
 	"lycheepick/internal/rule/units"
@@ -63,6 +65,7 @@
 type Fleet struct {
 	snap  atomic.Pointer[Snapshot]
 	audit Audit
+	rests rests
 
 	mu      sync.Mutex
 	members []member.Member
@@ -93,7 +96,7 @@
 
 // New returns an empty fleet that reports health changes to au.
 func New(au Audit) *Fleet {
-	fl := &Fleet{audit: au, servers: map[units.VMID]*server{}, prices: map[priceKey]units.PricePerHour{}}
+	fl := &Fleet{audit: au, rests: rests{book: rest.NewBook(rand.Uint64())}, servers: map[units.VMID]*server{}, prices: map[priceKey]units.PricePerHour{}}
 	fl.snap.Store(&Snapshot{})
 	return fl
 }
@@ -260,6 +263,7 @@
 		}
 	}
 	fl.servers = kept
+	fl.rests.retain(kept)
 	fl.dirty = false
 	fl.snap.Store(sn)
 }
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -143,6 +143,9 @@
 	if !fl.hasUsableServer(ro.Target) {
 		return nil, &Failure{Outcome: answer.NotRun, RetryAfter: retryAfter, Err: fault.New(op, KindNoServer, "no backend server of %s is usable", ro.Target)}
 	}
+	if after := fl.Fleet.RetryAfter(time.Now(), ro.Target); after > 0 {
+		return nil, &Failure{Outcome: answer.NotRun, RetryAfter: after, Err: errResting(op, ro.Target)}
+	}
 	settle, after, ok := fl.Quota.Take(ro.Key(), float64(tokens))
 	if !ok {
 		return nil, &Failure{Outcome: answer.NotRun, RetryAfter: after, Err: fault.New(op, KindLimit, "row %s is at its limit", ro.Key())}
@@ -168,6 +171,11 @@
 	}}, nil
 }
 
+// errResting is the error of a request that no server takes since all have asked for a rest.
+func errResting(op string, ta units.TargetID) error {
+	return fault.New(op, KindNoServer, "all backend servers of %s have asked for a rest", ta)
+}
+
 // hasUsableServer reports whether a target has a usable backend server.
 func (fl *Flow) hasUsableServer(ta units.TargetID) bool {
 	for _, re := range fl.Fleet.Snapshot().Servers(ta) {
@@ -200,12 +208,16 @@
 		sn := fl.Fleet.Snapshot()
 		ask.AvoidZones = sn.ReclaimingZones()
 		now := time.Now()
-		if ch, ticket, ok := fl.chooseWithOwners(ctx, now, ask, sn.Servers(ta)); ok {
+		if ch, ticket, ok := fl.chooseWithOwners(ctx, now, ask, fl.Fleet.Takers(now, ta)); ok {
 			if ticket == 0 {
 				ticket = ch.Server.Dispatches.Dispatched(now, ask.PromptTokens-ch.Cached)
 			}
 			ch.Server.Cache.Add(ask.Prefix)
-			return picked{server: ch.Server, ticket: ticket}, true
+			fl.Fleet.RequestSent(ch.Server.Instance, now)
+			return picked{server: ch.Server, ticket: ticket, sentAt: now}, true
+		}
+		if fl.Fleet.RetryAfter(now, ta) > 0 {
+			return picked{}, false
 		}
 		// After failing on every server, the request may try the same ones again.
 		ask.Avoid = nil
@@ -219,10 +231,30 @@
 type picked struct {
 	server *route.Server
 	ticket route.Ticket
+	sentAt time.Time
 	// kvHandle names an imported KV cache to continue from, if any.
 	kvHandle string
 }
 
+// recordAnswer records what the end of an attempt tells of whether the server takes requests. answered is set
+// if the server has begun an answer other than a refusal.
+func (fl *Flow) recordAnswer(pi *picked, answered bool, err error) {
+	now, id := time.Now(), pi.server.Instance
+	switch {
+	case answered:
+		fl.Fleet.RequestAnswered(id, now, pi.sentAt)
+	case fault.Is(err, engine.KindRefused), fault.Is(err, plain.KindRefused):
+		fl.Fleet.RequestRefused(id, now, pi.sentAt, fault.RetryAfter(err))
+	default:
+		fl.Fleet.RequestGivenUp(id, now, pi.sentAt, !fault.Is(err, engine.KindNotSent) && !fault.Is(err, plain.KindNotSent))
+	}
+}
+
+// failureRetryAfter returns when a request to a target may come back that has failed.
+func (fl *Flow) failureRetryAfter(ta units.TargetID) time.Duration {
+	return max(retryAfter, fl.Fleet.RetryAfter(time.Now(), ta))
+}
+
 // recordEnd removes the dispatch from the server's tracked load.
 func (pi *picked) recordEnd() { pi.server.Dispatches.Ended(pi.ticket) }
 
--- a/internal/edge/flow/model.go
+++ b/internal/edge/flow/model.go
@@ -77,6 +77,8 @@
 	next *moveOrder
 	// delivered is the number of tokens delivered, readable from other goroutines.
 	delivered atomic.Int64
+	// answered is set once the server of the current attempt has sent an event.
+	answered bool
 }
 
 // moveOrder tells a run to continue on another server or, with handOver, to stop so that
@@ -155,7 +157,7 @@
 func (ru *run) fail(err error) {
 	st := ru.machine.Abort()
 	ru.fl.countOutcome(st)
-	ru.out.Failure = &Failure{Outcome: st, RetryAfter: retryAfter, Err: err}
+	ru.out.Failure = &Failure{Outcome: st, RetryAfter: ru.fl.failureRetryAfter(ru.request.Row.Target), Err: err}
 	if fault.Is(err, KindInvalid) || fault.Is(err, KindCanceled) {
 		ru.out.Failure.RetryAfter = 0
 	}
@@ -167,7 +169,8 @@
 	if or := ru.next; or != nil {
 		ru.next = nil
 		if re := ru.fl.Fleet.Snapshot().Server(or.to); re != nil && re.Usable {
-			return picked{server: re, ticket: re.Dispatches.Dispatched(time.Now(), 0), kvHandle: or.kvHandle}, true
+			now := time.Now()
+			return picked{server: re, ticket: re.Dispatches.Dispatched(now, 0), sentAt: now, kvHandle: or.kvHandle}, true
 		}
 	}
 	return ru.fl.choose(ctx, ru.request.Row.Target, &ru.ask, modelServerWait)
@@ -197,7 +200,9 @@
 	events := make(chan event)
 	var wg conc.WaitGroup
 	wg.Go(func() { ru.readStream(ctx, re, att, pi.kvHandle, events) })
+	ru.answered = false
 	err := ru.consume(ctx, re, att, events)
+	ru.fl.recordAnswer(&pi, ru.answered, err)
 	if err != nil {
 		cancel()
 	}
@@ -308,6 +313,7 @@
 	if ev.err != nil {
 		return false, ru.attemptFailed(re, att, ev.err)
 	}
+	ru.answered = true
 	if ev.tok.Finish != "" {
 		if ru.machine.Finish(att, ev.tok.Index) != answer.Deliver {
 			ru.machine.Fail(att, answer.MayHaveRun)
--- a/internal/edge/flow/service.go
+++ b/internal/edge/flow/service.go
@@ -44,7 +44,7 @@
 		if !ma.CanDispatch() || ctx.Err() != nil || fault.Is(err, KindNoServer) || !bu.spend() {
 			st := ma.Abort()
 			fl.countOutcome(st)
-			return nil, &Failure{Outcome: st, RetryAfter: retryAfter, Err: err}
+			return nil, &Failure{Outcome: st, RetryAfter: fl.failureRetryAfter(ca.Row.Target), Err: err}
 		}
 		fl.Counts.Retries.Add(1)
 		backOff(ctx, ma.Attempt())
@@ -66,6 +66,7 @@
 	rq.Attempt = att
 	rq.Idempotent = ca.Row.Idempotent
 	an, err := fl.Plain.Do(ctx, pi.server.Address, &rq)
+	fl.recordAnswer(&pi, err == nil, err)
 	if err != nil {
 		ask.Avoid = append(ask.Avoid, pi.server.VM)
 		return nil, fl.serviceFailed(ctx, ma, att, pi.server.Instance, err)
--- a/internal/edge/plain/plain.go
+++ b/internal/edge/plain/plain.go
@@ -105,7 +105,7 @@
 	case engine.RefusedDraining:
 		return nil, fault.New(op, KindDraining, "status %d", an.Header.StatusCode())
 	default:
-		return nil, fault.New(op, KindRefused, "status %d: %s", an.Header.StatusCode(), refused)
+		return nil, engine.Refusal(an, fault.New(op, KindRefused, "status %d: %s", an.Header.StatusCode(), refused))
 	}
 	return &Answer{
 		Status:      an.Header.StatusCode(),
--- a/internal/rule/fault/fault.go
+++ b/internal/rule/fault/fault.go
@@ -3,6 +3,8 @@
 package fault
 
 import (
+	"time"
+
 	"github.com/pkg/errors"
 )
 
@@ -42,3 +44,26 @@
 	var fe *Error[K]
 	return errors.As(err, &fe) && fe.Kind == kd
 }
+
+// retryAfter is an error with the time after which what failed may be tried again.
+type retryAfter struct {
+	error
+	after time.Duration
+}
+
+// Unwrap returns the error, for errors.Is and errors.As.
+func (ra *retryAfter) Unwrap() error { return ra.error }
+
+// WithRetryAfter adds the time after which what failed may be tried again.
+func WithRetryAfter(err error, after time.Duration) error {
+	return &retryAfter{error: err, after: after}
+}
+
+// RetryAfter returns the time after which what failed may be tried again, 0 if it is not known.
+func RetryAfter(err error) time.Duration {
+	var ra *retryAfter
+	if errors.As(err, &ra) {
+		return ra.after
+	}
+	return 0
+}
