--- a/tools/test.sh
+++ b/tools/test.sh
@@ -7,16 +7,18 @@
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
 # The simulations of large fleets use all processors for minutes, and tests of real nodes measure
-# seconds. Each of these groups runs by itself. A package may take longer than the 10 minutes that
+# seconds: where they get no processor for a fifth of a second, nodes take each other for gone. Each of these
+# groups runs by itself, and no other package is built meanwhile. A package may take longer than the 10 minutes that
 # "go test" allows it.
 status=0
 run() { # ARGUMENTS PACKAGES
   go test -count=1 -timeout 30m "$@" 2>&1 | tee -a "$out"
   [ "${PIPESTATUS[0]}" -eq 0 ] || status=1
 }
-apart='/internal/(bench/|node/entry$)'
+apart='/(internal/(bench/|node/entry$)|platform$)'
 mapfile -t others < <(go list ./... | grep -vE "$apart")
 run "$@" "${others[@]}"
+run "$@" ./platform
 run "$@" ./internal/node/entry
 run "$@" ./internal/bench/...
 # An entry ends with its issue. Under the race detector those it doesn't run are left out.
