Callers that are refused since all servers rest come back when a quarter of them is back

What callers saw: with all 120 servers of a service in rest, 799 of 11,601 callers at 360 nodes were refused twice, 455 of 8,582 at 64 nodes: each was told the end of the first rest, and one server alone couldn't take them.

Retry-After names the time at which a quarter of the rests are over, at most a second after the first. Up to three servers keep the shortest rest.

TestRetryAfterOfMany. Left: what remains was refused once with more than a third of its time, by which callers don't come back, or twice.

--- a/internal/rule/rest/rest.go
+++ b/internal/rule/rest/rest.go
@@ -19,6 +19,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lycheepick/internal/rule/notice"
@@ -73,6 +74,8 @@
 	toldBackoff = time.Second
 	// returnSpread is the time over which the callers come back that were refused in a rest.
 	returnSpread = 300 * time.Millisecond
+	// returnWindow bounds the time after the end of the first rest at which they are asked to come back.
+	returnWindow = time.Second
 )
 
 // record is a server that has refused requests, or answered none, since it last answered otherwise.
@@ -246,9 +249,10 @@
 }
 
 // RetryAfter returns when a request may come back that none of these servers takes, 0 if one of them
-// has not refused any lately.
+// has not refused any lately. That is when a quarter of the rests are over, since one server alone can't take
+// all callers that come back.
 func (bo *Book) RetryAfter(now time.Time, list []notice.Server) time.Duration {
-	least := time.Duration(0)
+	lefts := make([]time.Duration, 0, len(list))
 	for _, sv := range list {
 		left := max(bo.Left(now, sv), bo.told.Get(sv).For-bo.told.Age(now, sv))
 		if rc := bo.refused[sv]; rc != nil && rc.named {
@@ -257,14 +261,14 @@
 		if left <= 0 {
 			return 0
 		}
-		if least == 0 || left < least {
-			least = left
-		}
+		lefts = append(lefts, left)
 	}
-	if least == 0 {
+	if len(lefts) == 0 {
 		return 0
 	}
-	return least + time.Duration(bo.rnd.Int64N(int64(returnSpread)))
+	slices.Sort(lefts)
+	back := lefts[len(lefts)/4]
+	return min(back, lefts[0]+returnWindow) + time.Duration(bo.rnd.Int64N(int64(returnSpread)))
 }
 
 // Sent records that a request is sent to a server. It returns true if it is a trial.
--- a/internal/rule/rest/rest_test.go
+++ b/internal/rule/rest/rest_test.go
@@ -1,12 +1,14 @@
 package rest_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/rest"
+	"lycheepick/internal/rule/units"
 )
 
 var (
@@ -185,7 +187,31 @@
 	}
 }
 
-// TestRetryAfter checks that a caller is told of the shortest rest, and of none while a server is free.
+// TestRetryAfterOfMany guards against callers that all come back when the first of many servers is back.
+func TestRetryAfterOfMany(t *testing.T) {
+	const second = time.Second
+	for _, tt := range []struct {
+		step, want time.Duration
+	}{
+		{100 * time.Millisecond, 1200 * time.Millisecond},
+		{second, 2 * second}, // The third rest is over after 3 s.
+	} {
+		bo := rest.NewBook(1)
+		var list []notice.Server
+		for num := range 8 {
+			sv := notice.Server{ID: units.VMID(fmt.Sprint("i-", num))}
+			bo.Refused(at(0), at(0), sv, second+time.Duration(num)*tt.step)
+			list = append(list, sv)
+		}
+		const spread = 600 * time.Millisecond // Of the rests and of the callers.
+		if have := bo.RetryAfter(at(0), list); have < tt.want || have > tt.want+spread {
+			t.Errorf("rests %s apart: have %s, want %s to %s", tt.step, have, tt.want, tt.want+spread)
+		}
+	}
+}
+
+// TestRetryAfter checks that a caller is told of the shortest rest of a few servers, and of none while a server
+// is free.
 func TestRetryAfter(t *testing.T) {
 	bo, other := rest.NewBook(1), notice.Server{ID: "i-2"}
 	bo.Refused(at(0), at(0), first, 2*time.Second)
