crowd: the request of a caller stands in a file of its own

The type request moves to caller.go as it is; what follows when no server takes a request is waitOrRefuse.

--- a/internal/bench/crowd/node.go
+++ b/internal/bench/crowd/node.go
@@ -203,69 +203,6 @@
 	no.lost[other.id] = false
 }
 
-// request is one request of a caller.
-type request struct {
-	ru          *run
-	at          time.Time
-	customer    units.CustomerID
-	ask         place.Request
-	callerTries int
-	// asks counts the requests for permits since the last dispatch.
-	asks int
-	// The attempt in progress, and whether its first token has been sent (started) and the
-	// outcome of the request counted.
-	node   *node
-	engine *engine
-	ticket place.Ticket
-	sends  int
-	sentAt time.Time
-	// pickedAt is when the server of the current attempt was chosen. turned counts the servers that
-	// turned the request away, and reached those that it has reached since the caller sent it.
-	pickedAt        time.Time
-	turned, reached int
-	// id is that of the caller's attempt. stream is nil until there are events, and resumes the
-	// attempt that brought the first one of a stream that is taken up again.
-	id      units.RequestID
-	stream  *stream
-	resumes units.RequestID
-	// counts is set if the attempt is one of those that LOST is about.
-	counts  bool
-	started bool
-	counted bool
-	// guilty is the part by which the request crashes servers, nil if it is sound, and harmless is
-	// set if the current attempt does not.
-	guilty   *guilty
-	harmless bool
-	// beganAt is when the answer of the current attempt began, zero before.
-	beganAt time.Time
-	// begun is what a sound request counts for that begins at its first attempt.
-	begun *int
-	// origin is the node that forwarded the request to the node that sends it, nil if none did.
-	// noOpen is set once no open connection was left on a path that is cut. try counts the
-	// request beside cuts.
-	origin *node
-	noOpen bool
-	try    *cutTry
-	// runs counts the servers that the request has reached, and waits how often it has waited for a trial.
-	runs, waits int
-	// leftAt is when the caller left, zero if it has not.
-	leftAt time.Time
-}
-
-// bucket returns the counts for the second in which the request arrived.
-func (rq *request) bucket() *Counts { return &rq.ru.result.Seconds[int(rq.at.Sub(epoch)/time.Second)] }
-
-// record adds the outcome of the request to the counter that of selects.
-func (rq *request) record(of func(*Counts) *int) {
-	rq.counted = true
-	*of(rq.bucket())++
-	*of(&rq.ru.result.Counts)++
-}
-
-func (rq *request) timeLeft() time.Duration { return rq.at.Add(deadline).Sub(rq.ru.now) }
-
-func (rq *request) size() float64 { return float64(rq.ask.Prompt) }
-
 // serve handles a request from its caller: it charges the customer's limit and dispatches.
 func (no *node) serve(rq *request) {
 	now := no.ru.now
@@ -369,13 +306,8 @@
 			return
 		}
 	}
-	if !found && no.isTrying() && time.Duration(rq.waits)*roundTrip < rest.TrialTime {
-		rq.waits++
-		no.ru.scheduleAfter(roundTrip, func() { no.trySend(rq) })
-		return
-	}
 	if !found {
-		no.refuseAdmitted(rq, no.noServerRetryAfter())
+		no.waitOrRefuse(rq)
 		return
 	}
 	if !no.ru.Naive && rq.sends == 0 {
@@ -411,6 +343,16 @@
 	rq.engine.start(rq)
 }
 
+// waitOrRefuse waits for the trial of a server, or refuses a request that no server takes.
+func (no *node) waitOrRefuse(rq *request) {
+	if no.isTrying() && time.Duration(rq.waits)*roundTrip < rest.TrialTime {
+		rq.waits++
+		no.ru.scheduleAfter(roundTrip, func() { no.trySend(rq) })
+		return
+	}
+	no.refuseAdmitted(rq, no.noServerRetryAfter())
+}
+
 // isHopeless reports whether a request can't be served in time, and when it may come back.
 func (no *node) isHopeless(rq *request, ch *place.Choice) (bool, time.Duration) {
 	return admit.ShouldRefuse(admit.Prediction{
