--- a/internal/bench/crowd/cut.go
+++ b/internal/bench/crowd/cut.go
@@ -316,11 +316,14 @@
 	no.detours.Took(ru.now, id, "")
 	rq.origin, rq.node = no, to
 	ru.scheduleAfter(after, func() {
-		if to.down() {
+		switch {
+		case to.down():
 			to.dropForwarded(rq)
-			return
+		case rq.hasLeft():
+			no.detours.Ended(id)
+		default:
+			to.send(rq)
 		}
-		to.send(rq)
 	})
 }
 
