A request at the OpenAI address waits for the trial of a server

What callers saw: with one server, two of the first 100 callers after its rest were refused, while one request tried it.

Cause: a server that is being tried counted as resting, and all requests beside the trial were refused at once. They wait for it now, as at the relay: it is over in a quarter of a second, in most cases far sooner.

The bounds are what they were.

--- a/internal/edge/fleet/rests.go
+++ b/internal/edge/fleet/rests.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -59,7 +60,7 @@
 }
 
 // RetryAfter returns when a request may come back that no server of a target takes since those that are usable
-// rest, 0 if that is not the reason.
+// rest, 0 if that is not the reason, or if one is being tried, which is soon over.
 func (fl *Fleet) RetryAfter(now time.Time, ta units.TargetID) time.Duration {
 	if len(fl.Takers(now, ta)) > 0 {
 		return 0
@@ -72,6 +73,9 @@
 	}
 	fl.rests.mu.Lock()
 	defer fl.rests.mu.Unlock()
+	if slices.ContainsFunc(ids, func(sv notice.Server) bool { return fl.rests.book.Trying(now, sv) }) {
+		return 0
+	}
 	return fl.rests.book.RetryAfter(now, ids)
 }
 
