--- a/internal/edge/call/early_test.go
+++ b/internal/edge/call/early_test.go
@@ -26,7 +26,7 @@
 			return
 		}
 		_, _ = cn.Read(make([]byte, 1))
-		_, _ = io.WriteString(cn, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nRetry-After: 4\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.WriteString(cn, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 4\r\nContent-Length: 0\r\n\r\n")
 		time.Sleep(50 * time.Millisecond)
 		_ = cn.Close() // With bytes unread, which resets it.
 	}()
