Streams go on after all nodes lost power: origins are archived in the store

Cause: a node that loses power resets no connection, so that callers there notice 4 s later, when the nodes are in touch again; and only the nodes knew at which version each stream began. Ruled out: servers of the version were there, lookups among nodes were answered, the store was up.

Fix: while a service has had several versions, one node for each 64 appends hashes of the ids of its resumable streams to the topic origins, ten times a second at most; a node reads them only for a stream that no node knows.

The model no longer shows events of a stream to callers of a node that is down.

--- a/internal/bench/crowd/crowd.go
+++ b/internal/bench/crowd/crowd.go
@@ -14,6 +14,7 @@
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/pool"
 	"lycheepick/internal/rule/units"
+	"lycheepick/internal/state/origin"
 	"lycheepick/internal/state/server"
 )
 
@@ -195,7 +196,9 @@
 	// sent and repeats are the times of callers' requests, and of arrivals beyond the first of each.
 	sent, repeats []time.Time
 	guilty        []*guilty
-	result        Result
+	// archive holds the origins that nodes have written to the store.
+	archive *origin.Archive
+	result  Result
 }
 
 // admission is one request of the first customer that was admitted.
@@ -208,7 +211,7 @@
 func Run(se Setup) Result {
 	ru := &run{
 		Setup: se, arrivals: rand.New(rand.NewPCG(se.Seed, 17)), rnd: rand.New(rand.NewPCG(se.Seed, 18)),
-		now: epoch, lastUnique: 1 << 24, seen: map[place.BlockID]bool{}, byID: map[units.VMID]*node{},
+		now: epoch, lastUnique: 1 << 24, seen: map[place.BlockID]bool{}, byID: map[units.VMID]*node{}, archive: origin.NewArchive(),
 	}
 	ru.result.Seconds = make([]Counts, int(se.Duration/time.Second)+1)
 	for num := range se.Servers {
@@ -320,6 +323,9 @@
 	for num := fa.First; num <= fa.Last; num++ {
 		ru.nodes[num].faults = append(ru.nodes[num].faults, fa)
 		if fa.Kind == Stopped {
+			if notice := ru.Load.Streams.NoticeAfter; notice > 0 {
+				ru.scheduleAt(fa.At, func() { ru.nodes[num].loseStreams(fa.For + notice) })
+			}
 			ru.scheduleAt(fa.At+fa.For, ru.nodes[num].restart)
 		}
 	}
--- a/internal/bench/crowd/stream.go
+++ b/internal/bench/crowd/stream.go
@@ -16,6 +16,9 @@
 	// FewOf makes only this many servers run the second software version; otherwise every
 	// second server does. Replacements of reclaimed servers run the second one.
 	FewOf int
+	// NoticeAfter is the time from a node's restart until the callers of its streams take them up: a node
+	// that has lost power resets no connection, so that they notice by the events that don't come.
+	NoticeAfter time.Duration
 }
 
 const (
@@ -92,6 +95,9 @@
 // beginStream records that events of the request's server reach the caller.
 func (rq *request) beginStream() {
 	ru := rq.ru
+	if rq.node.down() { // Its callers get nothing until it has restarted, and the request ends then.
+		return
+	}
 	version := ru.softwareVersion(rq.engine)
 	switch {
 	case rq.stream == nil:
@@ -128,11 +134,14 @@
 }
 
 // resume sends a new attempt of the caller, which names the one that brought the first event.
-func (rq *request) resume() {
+func (rq *request) resume() { rq.resumeAfter(0) }
+
+// resumeAfter does so some time from now.
+func (rq *request) resumeAfter(after time.Duration) {
 	ru := rq.ru
 	again := &request{ru: ru, customer: rq.customer, ask: rq.ask, stream: rq.stream, resumes: rq.stream.first, counted: true, callerTries: 1}
 	again.ask.Avoid, again.ask.Version = nil, nil
-	ru.scheduleAfter(time.Duration(ru.rnd.Float64()*float64(maxResumeDelay)), func() {
+	ru.scheduleAfter(after+time.Duration(ru.rnd.Float64()*float64(maxResumeDelay)), func() {
 		again.at = ru.now
 		again.setID()
 		no := ru.nodes[ru.rnd.IntN(len(ru.nodes))]
@@ -143,6 +152,19 @@
 	})
 }
 
+// loseStreams ends the streams of a node that loses power. Their callers take them up again after a
+// time.
+func (no *node) loseStreams(noticeAfter time.Duration) {
+	for _, en := range no.ru.engines {
+		for _, rq := range en.inOrder() {
+			if rq.node == no && rq.stream != nil {
+				delete(en.running, rq)
+				rq.resumeAfter(noticeAfter)
+			}
+		}
+	}
+}
+
 // setID gives the attempt its id.
 func (rq *request) setID() {
 	rq.ru.lastRequest++
@@ -190,6 +212,42 @@
 			}
 		}
 	})
+	no.archive(re)
+}
+
+// The times of the archive: from the first event of a stream until its origin is in the store, and
+// of a read of the store.
+const (
+	archiveTime     = 150 * time.Millisecond
+	archiveReadTime = 10 * time.Millisecond
+)
+
+// archive writes an origin to the store, unless the node ends before that.
+func (no *node) archive(re origin.Record) {
+	ru, incarnation := no.ru, no.incarnation
+	ru.scheduleAfter(archiveTime, func() {
+		if no.incarnation != incarnation || no.down() {
+			return
+		}
+		raw, err := origin.EncodeBatch([]origin.Record{re})
+		if err == nil {
+			err = ru.archive.AddBatch(ru.now, raw)
+		}
+		if err != nil {
+			panic(err) // A batch of this program is always readable.
+		}
+	})
+}
+
+// recall looks an origin up in the store.
+func (no *node) recall(rq *request, done func(found bool)) {
+	no.ru.scheduleAfter(archiveReadTime, func() {
+		og, found := no.ru.archive.Find(no.ru.now, rq.resumes)
+		if found {
+			rq.ask.Version = &og.Version
+		}
+		done(found)
+	})
 }
 
 // locate finds the software version at which a stream began and passes on whether it is known.
@@ -204,7 +262,11 @@
 				if version, only := no.versions.Only(no.ru.now, ""); only && !found {
 					rq.ask.Version, found = &version, true
 				}
-				done(found)
+				if !found {
+					no.recall(rq, done)
+					return
+				}
+				done(true)
 			})
 		})
 	})
--- a/internal/edge/relay/origins.go
+++ b/internal/edge/relay/origins.go
@@ -21,6 +21,8 @@
 	// Find returns the origin of the stream whose first event a request brought, to this node
 	// or to another one. answered is set if the nodes that would have it were asked and answered.
 	Find(context.Context, units.RequestID) (og origin.Origin, found, answered bool)
+	// Recall returns the origin of a stream that no node knows any more, if it was archived.
+	Recall(context.Context, units.RequestID) (og origin.Origin, found bool)
 }
 
 // localOrigins keeps what this node has seen.
@@ -46,29 +48,52 @@
 	return og, found, true
 }
 
+// Recall implements Origins.
+func (lo *localOrigins) Recall(context.Context, units.RequestID) (og origin.Origin, found bool) {
+	return origin.Origin{}, false
+}
+
 // locate finds the software version at which a stream began that the caller takes up again, and
 // sets the service. It returns false if the version is not known.
 func (ru *run) locate(ctx context.Context) bool {
 	rq := ru.rq
-	if rq.Resumes != "" {
-		og, found, answered := ru.rl.Origins.Find(ctx, rq.Resumes)
-		if found {
-			ru.ask.Version = &og.Version
-			if !sendsTo(rq.Route, og.Service) {
-				return false
-			}
-			rq.Service = og.Service
-			return true
-		}
-		if !answered && !ru.awaitList(ctx) {
-			return false
-		}
+	if rq.Resumes == "" {
+		return ru.takeOnlyVersion()
+	}
+	og, found, answered := ru.rl.Origins.Find(ctx, rq.Resumes)
+	if !found && !ru.rl.hadSeveralVersions(rq.Service) && (answered || ru.awaitList(ctx)) && ru.takeOnlyVersion() {
+		return true
+	}
+	if !found {
+		og, found = ru.rl.Origins.Recall(ctx, rq.Resumes)
+	}
+	if !found || !sendsTo(rq.Route, og.Service) {
+		return false
+	}
+	ru.ask.Version, rq.Service = &og.Version, og.Service
+	return true
+}
+
+// takeOnlyVersion makes the request go on at the only software version that can have begun its
+// stream. It returns false if there may have been several.
+func (ru *run) takeOnlyVersion() bool {
+	version, only := ru.rl.onlyVersion(time.Now(), ru.rq)
+	if only {
+		ru.ask.Version = &version
 	}
-	version, only := ru.rl.onlyVersion(time.Now(), rq)
-	ru.ask.Version = &version
 	return only
 }
 
+// hadSeveralVersions reports whether the servers of a service are known to have had several software
+// versions.
+func (rl *Relay) hadSeveralVersions(service units.TargetID) bool {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	now := time.Now()
+	rl.seeVersions(now)
+	return len(rl.versions.Several(now)[service]) > 0
+}
+
 // maxListWait bounds the time for which a request waits for a list of servers that is newer than itself.
 const maxListWait = 1500 * time.Millisecond
 
--- a/internal/edge/relay/origins_test.go
+++ b/internal/edge/relay/origins_test.go
@@ -157,6 +157,51 @@
 	return og, false, false
 }
 
+func (silentOrigins) Recall(context.Context, units.RequestID) (og origin.Origin, found bool) {
+	return og, false
+}
+
+// archivedOrigins are origins that no node knows any more, and of which one is archived.
+type archivedOrigins struct {
+	silentOrigins
+	known units.RequestID
+}
+
+func (archivedOrigins) Find(context.Context, units.RequestID) (og origin.Origin, found, answered bool) {
+	return og, false, true
+}
+
+func (ao archivedOrigins) Recall(_ context.Context, id units.RequestID) (origin.Origin, bool) {
+	return origin.Origin{Service: "app", Version: "2"}, id == ao.known
+}
+
+// TestStreamOfArchivedOriginGoesOn guards against a stream that is refused since no node remembers where it
+// began, though the archive does.
+func TestStreamOfArchivedOriginGoesOn(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		servers []units.SoftwareVersion
+		known   units.RequestID
+		want    string
+	}{
+		{"archived", []units.SoftwareVersion{"1", "2"}, "first", "2"},
+		{"not archived", []units.SoftwareVersion{"1", "2"}, "other", ""},
+		{"archived, and its version has left", []units.SoftwareVersion{"1", "3"}, "first", ""},
+		{"one version", []units.SoftwareVersion{"1", "1"}, "other", "1"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			rl, ex, si := versionRelay(tt.servers...), &versionServers{}, &sink{}
+			rl.Origins = archivedOrigins{known: tt.known}
+			rq := request(routes.Route{Stream: true, RetryPolicy: routes.Resumable, TrafficSplit: []routes.WeightedService{{Service: "app", Weight: 1}}})
+			rq.Customer, rq.Resumes, rq.LastEvent = nil, "first", "3"
+			rl.Serve(context.Background(), rq, ex, si)
+			if have := join(ex.versions); have != tt.want {
+				t.Errorf("sent to versions %q, status %d, want %q", have, si.status, tt.want)
+			}
+		})
+	}
+}
+
 // TestStreamGoesOnByOldList guards against a stream that a node which reaches no other takes up by a list
 // of servers from before the stream: a version that has joined since is not in it.
 func TestStreamGoesOnByOldList(t *testing.T) {
--- a/internal/node/entry/origins.go
+++ b/internal/node/entry/origins.go
@@ -33,10 +33,11 @@
 
 // origins keeps the origins of streams together with the other nodes: each origin is kept by the
 // node at which the stream began and, from the time at which its service has servers of several
-// software versions, by the nodes nearest to its id. It implements relay.Origins.
+// software versions, by the nodes nearest to its id and in the archive. It implements relay.Origins.
 type origins struct {
-	no    *Node
-	queue chan origin.Record
+	no      *Node
+	archive *archive
+	queue   chan origin.Record
 
 	mu   sync.Mutex
 	book *origin.Book
@@ -45,7 +46,7 @@
 }
 
 func newOrigins(no *Node) *origins {
-	return &origins{no: no, queue: make(chan origin.Record, originQueue), book: origin.NewBook(), shared: map[units.TargetID]bool{}}
+	return &origins{no: no, archive: newArchive(no), queue: make(chan origin.Record, originQueue), book: origin.NewBook(), shared: map[units.TargetID]bool{}}
 }
 
 // Record implements relay.Origins.
@@ -63,6 +64,7 @@
 }
 
 func (og *origins) enqueue(list ...origin.Record) {
+	og.archive.put(og.archive.collected, list...)
 	for _, re := range list {
 		select {
 		case og.queue <- re:
@@ -114,6 +116,11 @@
 	return og.ask(ctx, id)
 }
 
+// Recall implements relay.Origins.
+func (og *origins) Recall(ctx context.Context, id units.RequestID) (origin.Origin, bool) {
+	return og.archive.recall(ctx, id)
+}
+
 // ask asks the nodes nearest to an id for its origin and returns the first answer that has it. answered
 // is set if at most one of them gave no answer, and as many did as keep an origin.
 func (og *origins) ask(ctx context.Context, id units.RequestID) (out origin.Origin, found, answered bool) {
@@ -172,6 +179,8 @@
 func (og *origins) run(ctx context.Context) {
 	var wg conc.WaitGroup
 	defer wg.Wait()
+	wg.Go(func() { og.archive.handOver(ctx) })
+	wg.Go(func() { og.archive.write(ctx) })
 	for {
 		select {
 		case <-ctx.Done():
@@ -205,7 +214,10 @@
 // Origins implements pulse.Handler.
 func (no *Node) Origins(rq *pulse.OriginsRequest) *pulse.OriginsReply {
 	no.origins.add(rq.Records...)
-	re := &pulse.OriginsReply{}
+	re := &pulse.OriginsReply{Archived: rq.Archive}
+	if rq.Archive {
+		no.origins.archive.put(no.origins.archive.received, rq.Records...)
+	}
 	if rq.Find != "" {
 		if found, ok := no.origins.find(rq.Find); ok {
 			re.Origin = &found
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -186,12 +186,16 @@
 // OriginsRequest hands over the origins of streams that began, or asks for one.
 type OriginsRequest struct {
 	Records []origin.Record `json:"records,omitempty"`
+	// Archive asks the peer to write the records to the platform's store too.
+	Archive bool            `json:"archive,omitempty"`
 	Find    units.RequestID `json:"find,omitempty"`
 }
 
-// OriginsReply answers an OriginsRequest. Origin is nil if the stream is not known.
+// OriginsReply answers an OriginsRequest. Origin is nil if the stream is not known, and Archived is
+// set if the peer writes the records to the platform's store.
 type OriginsReply struct {
-	Origin *origin.Origin `json:"origin,omitempty"`
+	Origin   *origin.Origin `json:"origin,omitempty"`
+	Archived bool           `json:"archived,omitempty"`
 }
 
 const (
--- a/internal/plat/stream/stream.go
+++ b/internal/plat/stream/stream.go
@@ -54,7 +54,9 @@
 	// From is the offset of the first record in the page, End the offset after the last
 	// record of the stream.
 	From, End units.Offset
-	Records   [][]byte
+	// First is the offset of the first record that is stored.
+	First   units.Offset
+	Records [][]byte
 }
 
 // Store is the platform's store.
@@ -65,7 +67,7 @@
 	Append(ctx context.Context, na Name, at units.Offset, records ...[]byte) (units.Offset, error)
 	// Read returns records from offset from on. If there is none, it waits up to wait for
 	// the first. It fails with KindExpired if the offset isn't stored any more, or if the
-	// store's era has changed since the stream was listed.
+	// store's era has changed since the stream was listed. In the first case Page.First is set.
 	Read(ctx context.Context, na Name, from units.Offset, wait time.Duration) (Page, error)
 	// Newest lists the newest record of each key.
 	Newest(ctx context.Context, na Name) (Listing, error)
--- a/internal/rule/bound/bound.go
+++ b/internal/rule/bound/bound.go
@@ -36,6 +36,8 @@
 var (
 	// Record bounds a server's record, a node's address and the like.
 	Record = Limits{Bytes: 64 << 10, Depth: 8}
+	// Origins bounds a batch of origins of streams.
+	Origins = Limits{Bytes: 1 << 20, Depth: 4}
 	// Lease bounds the record of the lease, which holds counts of all nodes.
 	Lease = Limits{Bytes: 4 << 20, Depth: 12}
 	// Message bounds a message of a peer, which may hold a configuration.
--- a/internal/state/origin/origin.go
+++ b/internal/state/origin/origin.go
@@ -28,35 +28,16 @@
 const generationTime = 90 * time.Second
 
 // Book holds records for generationTime at least.
-type Book struct {
-	current, previous map[units.RequestID]Origin
-	rotatedAt         time.Time
-}
+type Book struct{ generations[units.RequestID] }
 
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{current: map[units.RequestID]Origin{}} }
+func NewBook() *Book { return &Book{newGenerations[units.RequestID]()} }
 
 // Add adds a record. The first one for an id is kept, as only one request has it.
-func (bo *Book) Add(now time.Time, re Record) {
-	bo.rotate(now)
-	if _, ok := bo.find(re.ID); !ok {
-		bo.current[re.ID] = re.Origin
-	}
-}
+func (bo *Book) Add(now time.Time, re Record) { bo.add(now, re.ID, re.Origin) }
 
 // Find returns the origin of the stream whose first event a request brought.
-func (bo *Book) Find(now time.Time, id units.RequestID) (Origin, bool) {
-	bo.rotate(now)
-	return bo.find(id)
-}
-
-func (bo *Book) find(id units.RequestID) (Origin, bool) {
-	if og, ok := bo.current[id]; ok {
-		return og, true
-	}
-	og, ok := bo.previous[id]
-	return og, ok
-}
+func (bo *Book) Find(now time.Time, id units.RequestID) (Origin, bool) { return bo.find(now, id) }
 
 // Of returns the records of one service.
 func (bo *Book) Of(service units.TargetID) []Record {
@@ -71,11 +52,35 @@
 	return out
 }
 
-func (bo *Book) rotate(now time.Time) {
-	if now.Sub(bo.rotatedAt) < generationTime {
+// generations holds origins by a key, each for generationTime at least.
+type generations[K comparable] struct {
+	current, previous map[K]Origin
+	rotatedAt         time.Time
+}
+
+func newGenerations[K comparable]() generations[K] { return generations[K]{current: map[K]Origin{}} }
+
+// add adds an origin unless the key has one.
+func (ge *generations[K]) add(now time.Time, key K, og Origin) {
+	if _, ok := ge.find(now, key); !ok {
+		ge.current[key] = og
+	}
+}
+
+func (ge *generations[K]) find(now time.Time, key K) (Origin, bool) {
+	ge.rotate(now)
+	if og, ok := ge.current[key]; ok {
+		return og, true
+	}
+	og, ok := ge.previous[key]
+	return og, ok
+}
+
+func (ge *generations[K]) rotate(now time.Time) {
+	if now.Sub(ge.rotatedAt) < generationTime {
 		return
 	}
-	bo.previous, bo.current, bo.rotatedAt = bo.current, map[units.RequestID]Origin{}, now
+	ge.previous, ge.current, ge.rotatedAt = ge.current, map[K]Origin{}, now
 }
 
 // versionMemory is how long a software version counts that no server has any more. It is longer
