pool: what is known of peers is kept in arrays, by number

Cause: the sums looked each peer up in two maps. Now peers have numbers, times are nanoseconds since the pool's first use, the latest report of all is kept, and the bound on a full bucket is only computed where it is reached.

TestPoolEqualsModel checks that both admit the same to the unit, with peers that restart, fall silent, join late and relay.

--- a/internal/rule/pool/pool.go
+++ b/internal/rule/pool/pool.go
@@ -92,35 +92,33 @@
 	admitted   float64
 	// deferred are the units of refused requests that were told when to retry.
 	deferred float64
-	peers    map[units.VMID]*peerUsage
+	// usages holds what is known of each peer, by its number.
+	usages []peerUsage
 }
 
+// peerUsage is what a peer uses of one customer's limit. The zero value is that of a peer that has not
+// reported.
 type peerUsage struct {
 	total float64
 	rate  float64
 	// assumed was taken from the bucket for a silent peer since its last report.
 	assumed float64
 	// reportedAt is the time to which the total applies, and incarnation the start of the peer
-	// that it counts from.
-	reportedAt  time.Time
+	// that it counts from, 0 before its first report.
+	reportedAt  instant
 	incarnation int64
 }
 
-// peerState holds when a peer last reported directly.
-type peerState struct {
-	lastReport time.Time
-}
-
 // Pool holds the buckets of all customers.
 type Pool struct {
 	tolerance Tolerance
 	buckets   map[units.CustomerID]*bucket
-	peers     map[units.VMID]*peerState
+	peers     *peers
 }
 
 // New returns a pool without limits, which admits everything.
 func New(to Tolerance) *Pool {
-	return &Pool{tolerance: to, buckets: map[units.CustomerID]*bucket{}, peers: map[units.VMID]*peerState{}}
+	return &Pool{tolerance: to, buckets: map[units.CustomerID]*bucket{}, peers: newPeers()}
 }
 
 // capacity returns the capacity of a limit's bucket: its burst and part of the tolerance.
@@ -135,7 +133,7 @@
 		bu := po.buckets[id]
 		if bu == nil {
 			po.buckets[id] = &bucket{
-				limit: li, capacity: po.tolerance.capacity(li), level: li.Burst * initialLevel, refilledAt: now, peers: map[units.VMID]*peerUsage{},
+				limit: li, capacity: po.tolerance.capacity(li), level: li.Burst * initialLevel, refilledAt: now, usages: noUsages(po.peers.count()),
 			}
 			continue
 		}
@@ -150,83 +148,58 @@
 	}
 }
 
-func (bu *bucket) refill(now time.Time, peers map[units.VMID]*peerState) {
+func (bu *bucket) refill(now time.Time, pe *peers) {
 	gap := now.Sub(bu.refilledAt)
 	if gap <= 0 {
 		return
 	}
 	gained := bu.limit.Rate * gap.Seconds()
 	bu.deferred = max(0, bu.deferred-gained)
-	bu.level += gained - bu.chargeSilent(now, gap, peers)
-	bu.capLevel(now, peers)
+	bu.level += gained - bu.chargeSilent(now, gap, pe)
+	bu.capLevel(now, pe)
 	bu.refilledAt = now
 }
 
 // capLevel bounds the remaining level, which is the level less the unreported use of peers.
 // Bounding the level itself would lose what is refilled between two reports, which in a large
 // fleet is more than a second's worth.
-func (bu *bucket) capLevel(now time.Time, peers map[units.VMID]*peerState) {
+func (bu *bucket) capLevel(now time.Time, pe *peers) {
 	maxLevel := bu.capacity
-	if nodes := len(peers) + 1; nodes > smallFleetNodes {
+	if nodes := pe.count() + 1; nodes > smallFleetNodes {
 		maxLevel = bu.limit.Burst // All of the tolerance covers late reports.
-		if isIsolated(now, peers) {
+		if pe.isIsolated(now) {
 			maxLevel *= smallFleetNodes / float64(nodes)
 		}
 	}
-	bu.level = min(bu.level, maxLevel+bu.unreportedWithin(now, peers, min(silenceTimeout(now, peers), unreportedGaps*watch.MeanGap(len(peers)))))
+	if bu.level > maxLevel { // The unreported use only adds to the bound.
+		bu.level = min(bu.level, maxLevel+bu.unreportedWithin(now, pe, min(pe.silenceTimeout(now), unreportedGaps*watch.MeanGap(pe.count()))))
+	}
 }
 
 // chargeSilent returns what silent peers are assumed to have used in the last gap, and adds it
 // to their assumed use.
-func (bu *bucket) chargeSilent(now time.Time, gap time.Duration, peers map[units.VMID]*peerState) float64 {
-	total, limit := 0.0, silenceTimeout(now, peers)
-	for id, pe := range peers {
-		age := now.Sub(pe.lastReport)
+func (bu *bucket) chargeSilent(now time.Time, gap time.Duration, pe *peers) float64 {
+	total, limit, share := 0.0, pe.silenceTimeout(now), bu.equalShare(pe)
+	at := pe.instant(now)
+	for num, last := range pe.lastReports {
+		age := at.since(last)
 		if age <= limit || age > peerTTL {
 			continue
 		}
-		us := bu.usage(id)
-		part := max(us.rate, bu.equalShare(peers)) * min(gap, age-limit).Seconds()
+		us := &bu.usages[num]
+		part := max(us.rate, share) * min(gap, age-limit).Seconds()
 		us.assumed += part
 		total += part
 	}
 	return total
 }
 
-// silenceTimeout returns the age of a report from which on a peer counts as silent. In a large
-// fleet two nodes seldom exchange, but a node without any reports is isolated itself.
-func silenceTimeout(now time.Time, peers map[units.VMID]*peerState) time.Duration {
-	if isIsolated(now, peers) {
-		return smallFleetSilence
-	}
-	return watch.SilenceTimeout(smallFleetSilence, len(peers))
-}
-
-// isIsolated tells whether no peer has reported within isolationTimeout.
-func isIsolated(now time.Time, peers map[units.VMID]*peerState) bool {
-	for _, pe := range peers {
-		if now.Sub(pe.lastReport) <= isolationTimeout {
-			return false
-		}
-	}
-	return true
-}
-
 // Peers returns the number of peers that were ever added or have reported.
-func (po *Pool) Peers() int { return len(po.peers) }
-
-func (bu *bucket) usage(id units.VMID) *peerUsage {
-	us := bu.peers[id]
-	if us == nil {
-		us = &peerUsage{}
-		bu.peers[id] = us
-	}
-	return us
-}
+func (po *Pool) Peers() int { return po.peers.count() }
 
 // equalShare returns one node's equal share of the limit.
-func (bu *bucket) equalShare(peers map[units.VMID]*peerState) float64 {
-	return bu.limit.Rate / float64(len(peers)+1)
+func (bu *bucket) equalShare(pe *peers) float64 {
+	return bu.limit.Rate / float64(pe.count()+1)
 }
 
 // Take admits a request of this many units, or returns when to retry. late is set for a
@@ -284,20 +257,20 @@
 
 // unreported estimates what peers have used since their last reports, without what was charged
 // for silent ones.
-func (bu *bucket) unreported(now time.Time, peers map[units.VMID]*peerState) float64 {
-	return bu.unreportedWithin(now, peers, silenceTimeout(now, peers))
+func (bu *bucket) unreported(now time.Time, pe *peers) float64 {
+	return bu.unreportedWithin(now, pe, pe.silenceTimeout(now))
 }
 
 // unreportedWithin estimates what peers have used since their last reports, each for up to
 // maxAge.
-func (bu *bucket) unreportedWithin(now time.Time, peers map[units.VMID]*peerState, maxAge time.Duration) float64 {
-	total := 0.0
-	for id, pe := range peers {
-		if us := bu.peers[id]; us != nil && now.Sub(pe.lastReport) <= peerTTL {
-			total += us.rate * min(now.Sub(us.reportedAt), maxAge).Seconds()
+func (bu *bucket) unreportedWithin(now time.Time, pe *peers, maxAge time.Duration) float64 {
+	total, at := 0.0, pe.instant(now)
+	for num := range bu.usages {
+		if us := &bu.usages[num]; us.rate != 0 && at.since(pe.lastReports[num]) <= peerTTL {
+			total += us.rate * float64(min(at.since(us.reportedAt), maxAge))
 		}
 	}
-	return total
+	return total / float64(time.Second)
 }
 
 // Admitted returns this node's totals, by customer.
@@ -314,30 +287,48 @@
 // AddPeer adds a peer that has not reported yet. Until it does, it counts as silent and
 // serving.
 func (po *Pool) AddPeer(now time.Time, node units.VMID) {
-	if po.peers[node] == nil {
-		po.peers[node] = &peerState{lastReport: now.Add(-silenceTimeout(now, po.peers))}
+	if _, ok := po.peers.numbers[node]; !ok {
+		po.add(node, po.peers.instant(now.Add(-po.peers.silenceTimeout(now))))
 	}
 }
 
-// MergeReport merges the totals of a peer. The incarnation identifies the start of the peer
-// that the totals count from.
-func (po *Pool) MergeReport(now time.Time, node units.VMID, incarnation int64, totals Totals) {
+// add adds a peer that last reported at a time, and returns its number.
+func (po *Pool) add(node units.VMID, lastReport instant) int {
+	for _, bu := range po.buckets {
+		bu.usages = append(bu.usages, peerUsage{reportedAt: never})
+	}
+	return po.peers.add(node, lastReport)
+}
+
+// refillAll refills all buckets.
+func (po *Pool) refillAll(now time.Time) {
 	for _, bu := range po.buckets {
 		bu.refill(now, po.peers)
 	}
-	pe := po.peers[node]
-	if pe == nil {
-		pe = &peerState{}
-		po.peers[node] = pe
+}
+
+// MergeReport merges the totals of a peer. The incarnation identifies the start of the peer
+// that the totals count from.
+func (po *Pool) MergeReport(now time.Time, node units.VMID, incarnation int64, totals Totals) {
+	po.refillAll(now)
+	at := po.peers.instant(now)
+	num, ok := po.peers.numbers[node]
+	if !ok {
+		num = po.add(node, at)
 	}
-	pe.lastReport = now
+	po.merge(num, at, incarnation, totals)
+}
+
+// merge applies all totals of a peer as of a time.
+func (po *Pool) merge(num int, at instant, incarnation int64, totals Totals) {
+	po.peers.heard(num, at, incarnation)
 	for id, bu := range po.buckets {
-		bu.applyTotal(bu.usage(node), now, incarnation, totals[id], len(po.peers))
+		bu.applyTotal(&bu.usages[num], at, incarnation, totals[id], po.peers.count())
 	}
 }
 
 // applyTotal applies a peer's total as of a time. The next refill bounds the level.
-func (bu *bucket) applyTotal(us *peerUsage, at time.Time, incarnation int64, total float64, peers int) {
+func (bu *bucket) applyTotal(us *peerUsage, at instant, incarnation int64, total float64, peers int) {
 	delta := total - us.total
 	switch us.incarnation {
 	case incarnation:
@@ -347,7 +338,7 @@
 		delta = total + us.rate*(unreportedGaps*watch.MeanGap(peers)).Seconds()
 	}
 	bu.level += us.assumed - delta
-	if gap := at.Sub(us.reportedAt); gap > 0 && us.incarnation != 0 {
+	if gap := at.since(us.reportedAt); gap > 0 && us.incarnation != 0 {
 		weight := 1 - math.Exp(-float64(gap)/float64(rateTimeConstant))
 		us.rate += (max(0, delta)/gap.Seconds() - us.rate) * weight
 	}
@@ -365,16 +356,18 @@
 // Relay returns the peers' totals to relay: recent ones of customers near their limits.
 func (po *Pool) Relay(now time.Time) map[units.CustomerID][]RelayedUsage {
 	var out map[units.CustomerID][]RelayedUsage
+	at := po.peers.instant(now)
 	for cu, bu := range po.buckets {
 		if bu.level-bu.unreported(now, po.peers) >= bu.capacity*maxRelayLevel || bu.demand() < bu.limit.Rate*minRelayDemand {
 			continue
 		}
-		for id, us := range bu.peers {
-			if age := now.Sub(us.reportedAt); us.total != 0 && age <= maxRelayAge {
+		for num := range bu.usages {
+			us := &bu.usages[num]
+			if age := at.since(us.reportedAt); us.total != 0 && age <= maxRelayAge {
 				if out == nil {
 					out = map[units.CustomerID][]RelayedUsage{}
 				}
-				out[cu] = append(out[cu], RelayedUsage{Node: id, Incarnation: us.incarnation, Total: us.total, Age: age})
+				out[cu] = append(out[cu], RelayedUsage{Node: po.peers.ids[num], Incarnation: us.incarnation, Total: us.total, Age: age})
 			}
 		}
 	}
@@ -384,8 +377,8 @@
 // demand returns what peers admit together, in units a second.
 func (bu *bucket) demand() float64 {
 	total := 0.0
-	for _, us := range bu.peers {
-		total += us.rate
+	for num := range bu.usages {
+		total += bu.usages[num].rate
 	}
 	return total
 }
@@ -399,9 +392,13 @@
 		}
 		bu.refill(now, po.peers)
 		for _, re := range list {
-			us, at := bu.usage(re.Node), now.Add(-re.Age)
-			if po.peers[re.Node] != nil && at.After(us.reportedAt) && re.Incarnation >= us.incarnation {
-				bu.applyTotal(us, at, re.Incarnation, re.Total, len(po.peers))
+			num, ok := po.peers.numbers[re.Node]
+			if !ok {
+				continue
+			}
+			us, at := &bu.usages[num], po.peers.instant(now.Add(-re.Age))
+			if at > us.reportedAt && re.Incarnation >= us.incarnation {
+				bu.applyTotal(us, at, re.Incarnation, re.Total, po.peers.count())
 			}
 		}
 	}
