pool: a node that has just started admits late requests as others

Cause: after an outage all requests are late, and a late one needs half of the bucket; a bucket starts with a twentieth, since what was used before is not known. Ruled out: nodes that start slowly (all had the configuration and the servers within 0.3 s), the assumed use of peers that have not reported (relaying it changes nothing here).

Fix: the bar for late requests begins once the bucket has had time to fill.

--- a/internal/rule/pool/model_test.go
+++ b/internal/rule/pool/model_test.go
@@ -24,6 +24,10 @@
 	// longer be answered in time, such as one that was refused before. By the users' data
 	// sheets an answer in time is worth ten late ones.
 	minLateLevel = 0.5
+	// lateStart is the time from a bucket's start, in times that its burst takes to refill, for which late
+	// requests need no more than others. Its level is low then for want of knowledge, and after an
+	// outage all requests are late.
+	lateStart = 2
 	// initialLevel is the part of the burst with which the bucket of a new node starts: its
 	// predecessor and its peers may just have used the rest.
 	initialLevel = 0.05
@@ -65,6 +69,7 @@
 	capacity   float64
 	level      float64
 	refilledAt time.Time
+	startedAt  time.Time
 	admitted   float64
 	// deferred are the units of refused requests that were told when to retry.
 	deferred float64
@@ -111,7 +116,7 @@
 		bu := po.buckets[id]
 		if bu == nil {
 			po.buckets[id] = &bucket{
-				limit: li, capacity: capacityOf(po.tolerance, li), level: li.Burst * initialLevel, refilledAt: now, peers: map[units.VMID]*peerUsage{},
+				limit: li, capacity: capacityOf(po.tolerance, li), level: li.Burst * initialLevel, refilledAt: now, startedAt: now, peers: map[units.VMID]*peerUsage{},
 			}
 			continue
 		}
@@ -205,6 +210,11 @@
 	return bu.limit.Rate / float64(len(peers)+1)
 }
 
+// isYoung reports whether the bucket has not had the time to fill since its start.
+func (bu *bucket) isYoung(now time.Time) bool {
+	return now.Sub(bu.startedAt).Seconds()*bu.limit.Rate < lateStart*bu.limit.Burst
+}
+
 // Take admits a request of this many units, or returns when to retry. late is set for a
 // request that can no longer be answered in time. Late requests need a fuller bucket: when a
 // customer sends several times its limit for seconds and its callers retry once, requests
@@ -217,7 +227,7 @@
 	bu.refill(now, po.peers)
 	// A single request may be larger than the whole bucket.
 	need := min(amount*sizeFactor, bu.capacity) - bu.capacity*overdraft
-	if late {
+	if late && !bu.isYoung(now) {
 		need = max(need, bu.capacity*minLateLevel)
 	}
 	short := need - (bu.level - bu.unreported(now, po.peers))
--- a/internal/rule/pool/pool.go
+++ b/internal/rule/pool/pool.go
@@ -45,6 +45,10 @@
 	// longer be answered in time, such as one that was refused before. By the users' data
 	// sheets an answer in time is worth ten late ones.
 	minLateLevel = 0.5
+	// lateStart is the time from a bucket's start, in times that its burst takes to refill, for which late
+	// requests need no more than others. Its level is low then for want of knowledge, and after an
+	// outage all requests are late.
+	lateStart = 2
 	// initialLevel is the part of the burst with which the bucket of a new node starts: its
 	// predecessor and its peers may just have used the rest.
 	initialLevel = 0.05
@@ -89,6 +93,7 @@
 	capacity   float64
 	level      float64
 	refilledAt time.Time
+	startedAt  time.Time
 	admitted   float64
 	// deferred are the units of refused requests that were told when to retry.
 	deferred float64
@@ -133,7 +138,7 @@
 		bu := po.buckets[id]
 		if bu == nil {
 			po.buckets[id] = &bucket{
-				limit: li, capacity: po.tolerance.capacity(li), level: li.Burst * initialLevel, refilledAt: now, usages: noUsages(po.peers.count()),
+				limit: li, capacity: po.tolerance.capacity(li), level: li.Burst * initialLevel, refilledAt: now, startedAt: now, usages: noUsages(po.peers.count()),
 			}
 			continue
 		}
@@ -202,6 +207,11 @@
 	return bu.limit.Rate / float64(pe.count()+1)
 }
 
+// isYoung reports whether the bucket has not had the time to fill since its start.
+func (bu *bucket) isYoung(now time.Time) bool {
+	return now.Sub(bu.startedAt).Seconds()*bu.limit.Rate < lateStart*bu.limit.Burst
+}
+
 // Take admits a request of this many units, or returns when to retry. late is set for a
 // request that can no longer be answered in time. Late requests need a fuller bucket: when a
 // customer sends several times its limit for seconds and its callers retry once, requests
@@ -214,7 +224,7 @@
 	bu.refill(now, po.peers)
 	// A single request may be larger than the whole bucket.
 	need := min(amount*sizeFactor, bu.capacity) - bu.capacity*overdraft
-	if late {
+	if late && !bu.isYoung(now) {
 		need = max(need, bu.capacity*minLateLevel)
 	}
 	short := need - (bu.level - bu.unreported(now, po.peers))
