relay: a body that is too long is not a whole answer

Cause: the body was read through a reader that ends at the bound, as if the body ended there.

Fix: one byte more is read; a longer body is a broken answer, that another server may replace where the route allows it, and 502 otherwise.

--- a/internal/edge/relay/answer.go
+++ b/internal/edge/relay/answer.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// maxBodyBytes bounds the body of a response that is not streamed.
+	// maxBodyBytes bounds the body of a response that is not streamed. A longer one counts as broken off.
 	maxBodyBytes = 16 << 20
 	// readBytes is the read buffer size for streams.
 	readBytes = 4 << 10
@@ -48,9 +48,9 @@
 	const op = "relay.whole"
 	ru.firstByte.stop() // If it is too late, a body that has arrived whole is sent all the same.
 	ru.recordStart(pi, sentAt)
-	body, err := io.ReadAll(io.LimitReader(rp.Body, maxBodyBytes))
+	body, err := readBody(rp.Body)
 	if err != nil {
-		return fault.Wrap(op, KindBroken, err)
+		return err
 	}
 	if rp.Status >= fasthttp.StatusInternalServerError && ru.canRetry() {
 		ru.failure = &failure{head: rp.Head, body: body}
@@ -69,6 +69,19 @@
 	return nil
 }
 
+// readBody reads a body of up to maxBodyBytes.
+func readBody(rd io.Reader) ([]byte, error) {
+	const op = "relay.readBody"
+	body, err := io.ReadAll(io.LimitReader(rd, maxBodyBytes+1))
+	if err != nil {
+		return nil, fault.Wrap(op, KindBroken, err)
+	}
+	if len(body) > maxBodyBytes {
+		return nil, fault.New(op, KindBroken, "body is longer than %d bytes", maxBodyBytes)
+	}
+	return body, nil
+}
+
 // canRetry reports whether the route, the attempts left and the deadline allow a retry.
 func (ru *run) canRetry() bool {
 	return ru.rq.Route.RetryPolicy != routes.AtMostOnce && ru.sends < ru.rq.Route.MaxAttempts && time.Until(ru.rq.Deadline) > minRetryTime
