A record that ends a removal is passed on by nodes that have not seen the removal

Cause, traced with REACH_LOG=node-4 at 8 nodes: a node reads a removal, holds it back, and then learns the rest from a peer. The peer had got the server's newest record alone, not the removal before it, so that for it the record renewed an unchanged state and was not passed on; the node went past its offset and applied the removal.

Ruled out: that the news comes too late (readers that hurry after an outage changed nothing), that a peer vouches wrongly.

Fix: what a peer sends counts as a change, to be passed on.

--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -323,6 +323,7 @@
 	listed, removals := map[units.VMID]bool{}, 0
 	for _, it := range re.Records {
 		changed = no.foldServer(now, since, it, "peer "+string(re.Node), grace(units.VMID(it.Key))) || changed
+		no.records.noteChange(it)
 		listed[units.VMID(it.Key)] = true
 		if len(it.Value) == 0 {
 			removals++
--- a/internal/node/entry/record.go
+++ b/internal/node/entry/record.go
@@ -71,6 +71,15 @@
 	}
 }
 
+// noteChange marks a record that a peer has sent as a change: the peer may have left out a removal before it,
+// which this node then has not seen, but another one has.
+func (re *records) noteChange(it stream.Keyed) {
+	if rec := re.byKey[it.Key]; rec.Offset == it.Offset {
+		rec.changedAt = it.Offset
+		re.byKey[it.Key] = rec
+	}
+}
+
 // since returns the newest record of each server that changed at off or later, by offset. If
 // not all removals from off on are known, it returns the newest record of every server and
 // sets listing.
--- a/internal/node/entry/record_test.go
+++ b/internal/node/entry/record_test.go
@@ -96,3 +96,16 @@
 		t.Error("have the whole list for an offset after the evicted removals, want changes only")
 	}
 }
+
+// TestRenewalAfterUnseenRemovalIsPassedOn guards against a removal that one node has read and whose end, a record
+// that renews the server, another node doesn't pass on, since it got that record alone.
+func TestRenewalAfterUnseenRemovalIsPassedOn(t *testing.T) {
+	re := newRecords()
+	re.put(stream.Keyed{Key: "s", Offset: 5, Value: []byte("up")}, true)
+	renewal := stream.Keyed{Key: "s", Offset: 9, Value: []byte("up")} // The removal at 7 was left out.
+	re.put(renewal, false)
+	re.noteChange(renewal)
+	if list, listing := re.since(8); listing || len(list) != 1 || list[0].Offset != 9 {
+		t.Errorf("have %v, listing %t, want the record at 9", list, listing)
+	}
+}
