Few reads of the store: one primary at the pace of the bound, relays that take over

Cause: each of four nodes, or one in 16, read both streams by polls that end at every heartbeat of every server; in an outage all nodes tried four times a second, and all looked for the lease while no holder was known.

Change: the first reader by rank, one in 128 nodes, reads at a pace that follows from the shorter of drain_ms and config_ms (new settings); the other readers learn from it, the rest from them, and each reads for itself by the age of its state. Nodes that are no readers back off in an outage and look for the lease a lease later.

--- a/internal/bench/crowd/node.go
+++ b/internal/bench/crowd/node.go
@@ -95,7 +95,7 @@
 func (no *node) begin(num int, now time.Time) {
 	ru := no.ru
 	no.incarnation++
-	no.fleet, no.pool, no.watch = place.NewFleet(), pool.New(ru.tolerance()), watch.New(no.id)
+	no.fleet, no.pool, no.watch = place.NewFleet(), pool.New(ru.tolerance()), watch.New(no.id, 0)
 	no.budget, no.inFlight = retry.NewBudget(retryShare, retryReserve), map[units.VMID]int{}
 	no.permits, no.members, no.asking, no.permitRetry = permit.NewBook(), permit.NewMembers(no.id), map[notice.Server]bool{}, permit.RetryAfter{}
 	no.leaving = notice.NewLeaving()
--- a/internal/node/config/entry.go
+++ b/internal/node/config/entry.go
@@ -75,6 +75,20 @@
 	UsageLateS   float64 `json:"usage_late_s"`
 	// HeartbeatMS is the time between two records of a server, 0 if unknown.
 	HeartbeatMS float64 `json:"heartbeat_ms"`
+	// DrainMS and ConfigMS are the times within which all nodes have to act on a server that leaves and on
+	// a new configuration, 0 for usual ones.
+	DrainMS  float64 `json:"drain_ms"`
+	ConfigMS float64 `json:"config_ms"`
+}
+
+// ChangeBound returns the time within which a change in the platform's store has to be in force at all
+// nodes, 0 if unknown.
+func (et EntryTiming) ChangeBound() time.Duration {
+	least := et.DrainMS
+	if least <= 0 || et.ConfigMS > 0 && et.ConfigMS < least {
+		least = et.ConfigMS
+	}
+	return time.Duration(least * float64(time.Millisecond))
 }
 
 // Heartbeat returns the time between two records of a server, 0 if unknown.
--- a/internal/node/entry/contact.go
+++ b/internal/node/entry/contact.go
@@ -26,17 +26,6 @@
 	transitions int64
 }
 
-// readWait returns how long the next read may wait for new records: usual, or 0 while the
-// store is lost, so that the first answer shows that it is back.
-func (sh *storeHealth) readWait(usual time.Duration) time.Duration {
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	if sh.lost {
-		return 0
-	}
-	return usual
-}
-
 // restartReads cancels all reads, so that the readers retry on new connections.
 func (sh *storeHealth) restartReads() {
 	sh.mu.Lock()
@@ -59,15 +48,25 @@
 }
 
 // storeHedgeDelay is the time after which a read of a lost store is hedged: the store may be back
-// while the read hangs on a connection that was cut off.
-const storeHedgeDelay = 300 * time.Millisecond
+// while the read hangs on a connection that was cut off. A node on which no other relies waits
+// idleHedgeDelay.
+const (
+	storeHedgeDelay = 300 * time.Millisecond
+	idleHedgeDelay  = 1200 * time.Millisecond
+)
 
-// hedgeRead asks the store once in storeHedgeDelay until ctx ends, and restarts all reads at the first
+// hedgeRead asks the store once in a while until ctx ends, and restarts all reads at the first
 // answer.
 func (no *Node) hedgeRead(ctx context.Context) {
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	for pause.For(ctx, storeHedgeDelay) {
+	delay := idleHedgeDelay
+	no.mu.Lock()
+	if no.watch.IsReader() {
+		delay = storeHedgeDelay
+	}
+	no.mu.Unlock()
+	for pause.For(ctx, delay) {
 		wg.Go(func() {
 			no.mu.Lock()
 			next := no.servers.NextOffset()
--- a/internal/node/entry/duty.go
+++ b/internal/node/entry/duty.go
@@ -120,13 +120,21 @@
 	}
 }
 
-// isPeerLeader reports whether a peer has recently reported that it holds the lease, in which
-// case the store need not be read.
+// isPeerLeader reports whether a peer has recently reported that it holds the lease, or may take
+// it before this node does, in which case the store need not be read. The nodes on which others rely
+// take the lease first.
 func (no *Node) isPeerLeader() bool {
 	ld := &no.leader
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	return ld.loaded && !ld.lease.IsHolder() && time.Since(ld.reportedAt) < leaderReportTTL
+	ttl, reported := leaderReportTTL, ld.reportedAt
+	if reported.IsZero() {
+		reported = no.start
+	}
+	if !no.watch.IsReader() {
+		ttl += no.settings.Timing.Lease()
+	}
+	return ld.loaded && !ld.lease.IsHolder() && time.Since(reported) < ttl
 }
 
 // loadLease reads the newest lease record.
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -122,6 +122,8 @@
 	// and behindSince is the time since which this node has read less.
 	maxPeerOffset units.Offset
 	behindSince   time.Time
+	// steadySince is when the list of servers last matched the store after a gap.
+	steadySince time.Time
 	// serversEra is the era of the store to which the offsets of servers and records belong,
 	// and maxPeerEra the one to which maxPeerOffset belongs.
 	serversEra, maxPeerEra units.Era
@@ -148,7 +150,7 @@
 	no := &Node{
 		settings: set, platform: pf, log: log, start: now, incarnation: now.UnixNano(),
 		registry: metrics.NewRegistry(), firstByte: metrics.NewHistogram(metrics.NewExpDecaySample(256, 0.015)),
-		servers: server.NewRegistry(set.Timing.Heartbeat()), records: newRecords(), watch: watch.New(set.VM.ID), peers: map[units.VMID]*peer{},
+		servers: server.NewRegistry(set.Timing.Heartbeat()), records: newRecords(), watch: watch.New(set.VM.ID, set.Timing.ChangeBound()), peers: map[units.VMID]*peer{},
 		usageBook: usage.NewCounter(set.Timing.UsageWindow()), clock: clock.New(),
 		offered: map[units.TargetID]pulse.Demand{}, peerWork: map[units.VMID]*peerWork{},
 	}
--- a/internal/node/entry/follow.go
+++ b/internal/node/entry/follow.go
@@ -15,20 +15,14 @@
 )
 
 const (
-	// configReadWait and serversReadWait are how long a read of the configuration and of the
-	// list of servers waits for a new record. They bound the time to detect a silent store if
-	// no peer reports it. A reader's list is as old as its last answer, so serversReadWait is
-	// below the age (see package watch) from which other nodes read the store themselves.
-	configReadWait  = 800 * time.Millisecond
-	serversReadWait = 800 * time.Millisecond
-	// readerCheckPeriod is the interval at which a node that does not read the store checks
-	// whether it has to.
+	// readerCheckPeriod is the interval at which a node checks whether it has to read the store.
 	readerCheckPeriod = 100 * time.Millisecond
-	// serversReadDelay is the pause between two reads, so that one read returns the records of
-	// several servers.
+	// serversReadDelay is the pause between two reads of a list that is behind the stream.
 	serversReadDelay = 100 * time.Millisecond
-	// storeRetryDelay is the pause after a failed read of the store.
-	storeRetryDelay = 250 * time.Millisecond
+	// storeRetryDelay is the pause after a failed read of the store. For a node on which no other
+	// relies it doubles with each failure up to maxStoreRetryDelay: an outage ends for the readers first.
+	storeRetryDelay    = 250 * time.Millisecond
+	maxStoreRetryDelay = 2 * time.Second
 	// restartDelay is the pause before a read that another reader has cancelled is made again.
 	restartDelay = 50 * time.Millisecond
 )
@@ -43,6 +37,7 @@
 // followConfig tails the operators' records and applies each new configuration.
 func (no *Node) followConfig(ctx context.Context) {
 	next, loaded := units.Offset(-1), false
+	var failures int
 	for ctx.Err() == nil {
 		if loaded && !no.mustRead(watch.Config) {
 			next = -1 // Reading on from here later would bring all versions since.
@@ -60,18 +55,29 @@
 			return err
 		})
 		loaded = loaded || next >= 0
-		if (stale || err != nil) && !pause.For(ctx, retryDelay(stale)) {
+		if !pause.For(ctx, no.retryDelay(stale, err, &failures)) {
 			return
 		}
 	}
 }
 
-// retryDelay returns the pause after a read that another reader has cancelled, or that failed.
-func retryDelay(cancelled bool) time.Duration {
-	if cancelled {
+// retryDelay returns the pause after a read that another reader has cancelled, or that failed for the
+// failures-th time in a row; otherwise 0.
+func (no *Node) retryDelay(cancelled bool, err error, failures *int) time.Duration {
+	switch {
+	case cancelled:
 		return restartDelay
+	case err == nil:
+		*failures = 0
+		return 0
 	}
-	return storeRetryDelay
+	*failures++
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	if no.watch.IsReader() {
+		return storeRetryDelay
+	}
+	return min(maxStoreRetryDelay, storeRetryDelay<<min(*failures-1, 8))
 }
 
 func (no *Node) loadConfig(ctx context.Context) (units.Offset, error) {
@@ -86,7 +92,7 @@
 }
 
 func (no *Node) readConfig(ctx context.Context, next units.Offset) (units.Offset, error) {
-	wait, asked := no.readWait(watch.Config, configReadWait), time.Now()
+	wait, asked := no.pollTime(), time.Now()
 	page, err := no.platform.Store.Read(ctx, no.platform.OperatorStream, next, wait)
 	if fault.Is(err, stream.KindExpired) {
 		return -1, nil // Records were dropped; reload the newest of each key, which the store keeps.
@@ -113,16 +119,16 @@
 // minReadWait is the shortest time that a read waits for new records.
 const minReadWait = 100 * time.Millisecond
 
-// readWait returns how long the next read of a stream may wait for new records: so long that this
-// node's state is known to match the store at least each usual time.
-func (no *Node) readWait(st watch.Stream, usual time.Duration) time.Duration {
-	wait := no.storeHealth.readWait(usual)
-	if wait == 0 {
-		return 0
+// pollTime returns how long the next poll of the configuration may wait for a new version: so long
+// that this node's configuration is known to match the store often enough.
+func (no *Node) pollTime() time.Duration {
+	if no.storeHealth.isLost() {
+		return 0 // The first answer shows that the store is back.
 	}
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	return max(minReadWait, min(wait, usual-no.watch.Age(st, time.Now())))
+	usual := no.watch.PollTime()
+	return max(minReadWait, usual-no.watch.Age(watch.Config, time.Now()))
 }
 
 // answeredAt returns a time at which the store had not yet answered a read that was sent at asked,
@@ -179,6 +185,7 @@
 // followServers tails the records of backend servers and updates the list of servers.
 func (no *Node) followServers(ctx context.Context) {
 	loaded := false
+	var failures int
 	for ctx.Err() == nil {
 		if loaded && !no.mustRead(watch.Servers) {
 			if !pause.For(ctx, readerCheckPeriod) {
@@ -194,11 +201,7 @@
 			}
 			return err
 		})
-		rest := serversReadDelay
-		if stale || err != nil {
-			rest = retryDelay(stale)
-		}
-		if !pause.For(ctx, rest) {
+		if !pause.For(ctx, max(serversReadDelay, no.retryDelay(stale, err, &failures))) {
 			return
 		}
 	}
@@ -238,8 +241,8 @@
 	no.mu.Lock()
 	next, era := no.servers.NextOffset(), no.serversEra
 	no.mu.Unlock()
-	wait, asked := no.readWait(watch.Servers, serversReadWait), time.Now()
-	page, err := no.platform.Store.Read(ctx, no.platform.ServerStream, next, wait)
+	asked := time.Now()
+	page, err := no.platform.Store.Read(ctx, no.platform.ServerStream, next, 0)
 	if fault.Is(err, stream.KindExpired) {
 		return false, nil
 	}
@@ -265,7 +268,7 @@
 	end := page.From + units.Offset(len(page.Records))
 	no.servers.SkipTo(end)
 	if end >= page.End { // The list is up to date only if the page reaches the end of the stream.
-		no.setSynced(answeredAt(asked, wait, len(page.Records)))
+		no.setSynced(asked)
 	}
 	no.mu.Unlock()
 	if changed {
@@ -295,8 +298,15 @@
 	return no.servers.GraceLeft(now)
 }
 
+// maxListGap is the time between two matches of the list with the store up to which the store counts as
+// up in between.
+const maxListGap = 1500 * time.Millisecond
+
 // setSynced records that the list of servers matched the store at a time. The caller holds mu.
 func (no *Node) setSynced(at time.Time) {
+	if at.Sub(no.watch.SyncedAt(watch.Servers)) > maxListGap {
+		no.steadySince = at
+	}
 	no.watch.Synced(watch.Servers, at)
 	no.relay.SetSynced(no.watch.SyncedAt(watch.Servers))
 }
--- a/internal/node/entry/gap_test.go
+++ b/internal/node/entry/gap_test.go
@@ -318,7 +318,7 @@
 		ids = append(ids, units.VMID(fmt.Sprintf("node-%d", num)))
 	}
 	for num, no := range fl.nodes {
-		wa := watch.New(ids[num])
+		wa := watch.New(ids[num], 0)
 		wa.SetPeers(append(append([]units.VMID(nil), ids[:num]...), ids[num+1:]...))
 		if wa.IsReader() || fl.rnd.Float64() < share {
 			do(no)
--- a/internal/node/entry/leavenet_test.go
+++ b/internal/node/entry/leavenet_test.go
@@ -26,8 +26,19 @@
 	reachServerCount = 20
 )
 
-func reachTiming() config.EntryTiming {
-	return config.EntryTiming{GraceS: 8, LeaseMS: 1000, UsageWindowS: 1, UsageLateS: 10, HeartbeatMS: float64(heartbeat.Milliseconds())}
+// reachTiming returns the times of a fleet of so many nodes.
+func reachTiming(nodes int) config.EntryTiming {
+	bound, _ := reachBounds(nodes)
+	return config.EntryTiming{GraceS: 8, LeaseMS: 1000, UsageWindowS: 1, UsageLateS: 10, HeartbeatMS: float64(heartbeat.Milliseconds()), DrainMS: float64(bound.Milliseconds())}
+}
+
+// reachBounds returns the time within which a change has to be in force in a fleet of so many nodes, and that
+// after which a node is in touch.
+func reachBounds(nodes int) (bound, contact time.Duration) {
+	if nodes > smallFleetNodes {
+		return largeConfigBound, 4 * time.Second
+	}
+	return configBound, 3 * time.Second
 }
 
 // reachServer is a server that renews its record.
@@ -199,10 +210,7 @@
 }
 
 func playLeave(t *testing.T, rc reachCase, nodes int) {
-	bound, contact := configBound, 3*time.Second
-	if nodes > smallFleetNodes {
-		bound, contact = largeConfigBound, 4*time.Second
-	}
+	bound, contact := reachBounds(nodes)
 	ctx, stop := context.WithCancel(t.Context())
 	fl := newReachFleet(ctx, nodes, 1)
 	defer fl.wg.Wait()
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -205,6 +205,7 @@
 		}
 	}
 	no.watch.SetPeers(alive)
+	no.watch.SetHurried(no.servers.SinceRecovery(now) > 0)
 	var out []string
 	for _, id := range append(no.watch.SelectPeers(number, no.leader.reportedBy, due), no.members.Suspects()...) {
 		out = append(out, no.peers[id].address)
@@ -257,7 +258,7 @@
 func (no *Node) wantsServers(id units.VMID) bool {
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	if no.serversLoaded.Load() && !no.watch.IsReader() && id == no.watch.Reader() {
+	if no.serversLoaded.Load() && id != "" && id == no.watch.Reader() {
 		return true
 	}
 	if !no.isBehind() {
@@ -290,6 +291,15 @@
 	}
 }
 
+// servedSince returns a time from which on the list of a peer has matched the store without a gap, up to
+// synced. Nodes up to version 0.4 don't report it: they count as served since they are known.
+func (pe *peer) servedSince(re *pulse.Report, synced time.Time) time.Time {
+	if from := synced.Add(re.ServersAge - re.ListSteady); re.ListSteady > 0 && from.After(pe.knownSince) {
+		return from
+	}
+	return pe.knownSince
+}
+
 // applyServers folds the server records of a reply. asked is when the request was sent.
 func (no *Node) applyServers(re *pulse.Reply, asked time.Time) {
 	no.mu.Lock()
@@ -301,21 +311,27 @@
 	no.enterEra(now, re.StoreEra, "peer "+string(re.Node))
 	synced := asked.Add(-re.ServersAge)
 	changed := false
+	hold := time.Duration(0) // The peer has read the removals without an outage, whatever this node saw.
 	if pe := no.peers[re.Node]; pe != nil && re.SinceStoreOutage == 0 {
-		changed = no.servers.PeerServed(now, pe.knownSince, synced)
+		from := pe.servedSince(&re.Report, synced)
+		if !re.LostStore() {
+			changed = no.servers.PeerServed(now, from, synced)
+		}
+		no.servers.PeerReached(now, synced)
+		hold = no.servers.PeerGrace(now, from)
 	}
+	isCertain := re.Verdicts && hold == 0
 	since := no.watch.SyncedAt(watch.Servers)
 	complete := re.Complete || no.servers.NextOffset() >= re.Servers
 	if complete && now.Sub(synced) < no.watch.Age(watch.Servers, now) {
 		no.servers.NotePeerRecovery(now, re.SinceStoreOutage)
 		no.setSynced(synced)
 	}
-	hold := time.Duration(0) // The peer has read the removals without an outage, whatever this node saw.
 	if re.SinceStoreOutage > 0 {
 		hold = no.servers.GraceLeft(now)
 	}
 	grace := func(id units.VMID) time.Duration {
-		if re.Verdicts && !slices.Contains(re.HeldBack, id) { // The peer is certain that the server has left.
+		if isCertain && !slices.Contains(re.HeldBack, id) { // The peer is certain that the server has left.
 			return 0
 		}
 		return hold
@@ -364,6 +380,9 @@
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	out.Servers, out.StoreEra, out.ServersAge = no.servers.NextOffset(), no.serversEra, no.watch.Age(watch.Servers, now)
+	if !no.steadySince.IsZero() {
+		out.ListSteady = max(1, now.Sub(no.steadySince))
+	}
 	out.ConfigAge = max(1, no.watch.Age(watch.Config, now))
 	out.SinceStoreOutage = no.servers.SinceRecovery(now)
 	out.UsageWindows = no.usageBook.SourceCounts(no.ownSource())
--- a/internal/node/entry/reach_test.go
+++ b/internal/node/entry/reach_test.go
@@ -140,10 +140,7 @@
 }
 
 func playReach(t *testing.T, rc reachCase, nodes int) {
-	bound, contact := configBound, 3*time.Second
-	if nodes > smallFleetNodes {
-		bound, contact = largeConfigBound, 4*time.Second
-	}
+	bound, contact := reachBounds(nodes)
 	ctx, stop := context.WithCancel(t.Context())
 	fl := newReachFleet(ctx, nodes, 1)
 	defer fl.wg.Wait()
--- a/internal/node/entry/reachnet_test.go
+++ b/internal/node/entry/reachnet_test.go
@@ -351,7 +351,7 @@
 	no := fl.nodes[num]
 	nd := New(&config.EntrySettings{
 		VM: config.EntryVM{ID: no.id, Zone: "z1"}, Listen: config.EntryListen{Peers: reachAddress(num)},
-		Timing: reachTiming(),
+		Timing: reachTiming(len(fl.nodes)),
 	}, Platform{
 		Store: no, OperatorStream: reachOperators, ConfigKey: "config", ServerStream: reachServers,
 		DecodeRecord: splitRecord, EncodeRecord: func(string, []byte) []byte { return nil },
--- a/internal/peer/pulse/bound.go
+++ b/internal/peer/pulse/bound.go
@@ -23,6 +23,7 @@
 func (re *Report) bound() {
 	re.ConfigAge = bound.Clamp(re.ConfigAge, 0, maxAge)
 	re.ServersAge = bound.Clamp(re.ServersAge, 0, maxAge)
+	re.ListSteady = bound.Clamp(re.ListSteady, 0, maxAge)
 	re.SinceStoreOutage = bound.Clamp(re.SinceStoreOutage, 0, maxAge)
 	re.Peers = bound.First(re.Peers, maxPeers)
 	re.ServerLimits = bound.First(re.ServerLimits, maxServers)
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -81,6 +81,8 @@
 	// SinceStoreOutage is the time since the end of a store outage in which server records
 	// may have expired. It is set only while such records may still be missing.
 	SinceStoreOutage time.Duration `json:"store_back,omitempty"`
+	// ListSteady is the time for which the list has matched the store without a gap, 0 if unknown.
+	ListSteady time.Duration `json:"steady,omitempty"`
 	// Loads is the load that the node's own requests put on each server.
 	Loads map[units.VMID]place.Load `json:"loads,omitempty"`
 	// SentPrefixes are the prompt prefix blocks that the node recently sent to each server.
@@ -108,6 +110,9 @@
 	Peers []Peer `json:"peers,omitempty"`
 }
 
+// LostStore reports whether the node's own reads of the store fail.
+func (re *Report) LostStore() bool { return re.StoreTransitions%2 == 1 }
+
 // Departure is a server that said some time ago that it leaves.
 type Departure struct {
 	notice.Server
--- a/internal/rule/pool/pool_test.go
+++ b/internal/rule/pool/pool_test.go
@@ -64,7 +64,7 @@
 	}
 	fl.byID = map[units.VMID]*node{}
 	for _, no := range fl.nodes {
-		fl.byID[no.id], no.selector = no, watch.New(no.id)
+		fl.byID[no.id], no.selector = no, watch.New(no.id, 0)
 		for _, other := range fl.nodes {
 			if other != no {
 				no.others = append(no.others, other.id)
--- a/internal/rule/watch/watch.go
+++ b/internal/rule/watch/watch.go
@@ -2,10 +2,11 @@
 // the peers that a node exchanges state with in each gossip round. It also gives the time after
 // which a peer counts as silent.
 //
-// Every backend server renews its record about once a second, and each renewal completes the
-// pending long poll of every reader. If all nodes read, the calls to the store grow with nodes
-// times servers. So a few nodes read, the others learn the state from them by gossip, and a
-// node reads for itself only while its state is stale.
+// Every backend server renews its record about once a second. If all nodes read, or a read ends at
+// each renewal, the calls to the store grow with nodes times servers. So one node, or one in
+// nodesPerPrimary, reads at a pace that follows from the bound within which a change has to be in force
+// everywhere. A few relays learn from it, the others from the relays. A node reads for itself once its
+// state is stale, relays before the others.
 //
 // Nothing here does I/O or reads a clock, and nothing is safe for concurrent use.
 package watch
@@ -23,27 +24,45 @@
 )
 
 const (
-	// minReaders is the number of readers in a small fleet. Two may be unreachable or
-	// restarting at once, and the others still receive every change at once.
+	// minReaders is the number of readers in a small fleet: the nodes that others query. Two may be
+	// unreachable or restarting at once.
 	minReaders = 4
 	// nodesPerReader bounds the nodes that query one reader, so that a reader's work doesn't
 	// grow with the fleet.
 	nodesPerReader = 16
-	// staleTimeout is the age of its state from which on a node reads for itself: three failed
-	// exchanges, and well under the seconds in which a change has to be in force.
-	staleTimeout = 1200 * time.Millisecond
-	// staleJitter is added to the timeout by the node's id, so that the nodes that miss a
-	// reader don't all read at once.
-	staleJitter = 500 * time.Millisecond
+	// nodesPerPrimary bounds the nodes for which one primary reader reads.
+	nodesPerPrimary = 128
+	// defaultBound is the time within which a change has to be in force if the platform names none.
+	defaultBound = 2 * time.Second
+)
+
+// The paces of reading, as parts of the bound, less exchangeTime for the two. A relay whose primary stops
+// reads for itself within relayTimeout, and the others learn from it in the rest of the bound, or read for
+// themselves.
+const (
+	exchangeTime  = 200 * time.Millisecond
+	readPeriod    = 0.3
+	pollTime      = 0.35
+	relayTimeout  = 0.425
+	relayStagger  = 0.025
+	staleTimeout  = 0.575
+	staleJitter   = 0.2
+	maxStaggering = 4
 )
 
 // Selector is one node's choice of readers and gossip peers. The zero time counts as never.
 type Selector struct {
-	own      units.VMID
-	isReader bool
+	own units.VMID
+	// bound is the time within which a change has to be in force at all nodes.
+	bound time.Duration
+	// rank is this node's position among the readers, from 0 on, or -1 if it is none. The first
+	// primaries read at the pace, the other readers are relays.
+	rank, primaries int
 	// readers are the other nodes that read, in the order in which this node queries them.
 	readers  []units.VMID
 	failures int
+	// isHurried is set after an outage of the store.
+	isHurried bool
 	// syncedAt is when the state of each stream last matched the store. One stream tells nothing
 	// of another: its poll may hang alone.
 	syncedAt [streamCount]time.Time
@@ -60,8 +79,14 @@
 	streamCount
 )
 
-// New returns the selector of a node that knows no peers and therefore reads itself.
-func New(own units.VMID) *Selector { return &Selector{own: own, isReader: true} }
+// New returns the selector of a node that knows no peers and therefore reads itself. bound is the
+// time within which a change has to be in force at all nodes, 0 for a usual one.
+func New(own units.VMID, bound time.Duration) *Selector {
+	if bound <= 0 {
+		bound = defaultBound
+	}
+	return &Selector{own: own, bound: bound, primaries: 1}
+}
 
 // SetPeers chooses the readers among this node and its peers. All nodes that know the same
 // peers choose the same readers.
@@ -69,24 +94,31 @@
 	nodes := append([]units.VMID{se.own}, peers...)
 	sort.Slice(nodes, func(one, two int) bool { return rank(nodes[one]) < rank(nodes[two]) })
 	count := min(len(nodes), max(minReaders, (len(nodes)+nodesPerReader-1)/nodesPerReader))
-	se.isReader = false
-	se.readers = se.readers[:0]
-	for _, no := range nodes[:count] {
+	se.primaries = (len(nodes) + nodesPerPrimary - 1) / nodesPerPrimary
+	se.rank, se.readers = -1, se.readers[:0]
+	for idx, no := range nodes[:count] {
 		if no == se.own {
-			se.isReader = true
+			se.rank = idx
 		} else {
 			se.readers = append(se.readers, no)
 		}
 	}
 }
 
-// IsReader tells whether this node reads for others.
-func (se *Selector) IsReader() bool { return se.isReader }
+// IsReader tells whether other nodes learn the state of the streams from this node.
+func (se *Selector) IsReader() bool { return se.rank >= 0 }
+
+// IsPrimary tells whether this node reads the streams at their pace.
+func (se *Selector) IsPrimary() bool { return se.rank >= 0 && se.rank < se.primaries }
 
-// Reader returns the reader that this node queries, empty if there is none.
+// Reader returns the node from which this node learns the state of the streams, empty if there is none: a
+// relay queries a primary, and another reader if that doesn't answer.
 func (se *Selector) Reader() units.VMID {
-	if len(se.readers) == 0 {
+	switch {
+	case len(se.readers) == 0 || se.IsPrimary():
 		return ""
+	case se.IsReader():
+		return se.readers[(se.rank%se.primaries+se.failures)%len(se.readers)]
 	}
 	return se.readers[(rank(se.own)+uint64(se.failures))%uint64(len(se.readers))]
 }
@@ -99,6 +131,11 @@
 	}
 }
 
+// SetHurried makes all readers read at the pace of a primary, and the others query their readers in each
+// round. After an outage of the store the records that expired in it are written again, and nodes
+// have to know them before they take their servers for gone.
+func (se *Selector) SetHurried(isHurried bool) { se.isHurried = isHurried }
+
 // Synced records that this node's state of a stream matched the store at a time.
 func (se *Selector) Synced(st Stream, at time.Time) {
 	if at.After(se.syncedAt[st]) {
@@ -112,12 +149,31 @@
 // Age returns the time since this node's state of a stream last matched the store.
 func (se *Selector) Age(st Stream, now time.Time) time.Duration { return now.Sub(se.syncedAt[st]) }
 
-// ShouldRead tells whether this node has to read a stream from the store now, as a reader or
+// ShouldRead tells whether this node has to read a stream from the store now, as a primary or
 // because its state is stale.
 func (se *Selector) ShouldRead(st Stream, now time.Time) bool {
-	return se.isReader || se.Age(st, now) > staleTimeout+time.Duration(rank(se.own)%uint64(staleJitter))
+	return se.Age(st, now) >= se.maxAge(st)
 }
 
+// maxAge returns the age of a stream's state from which on this node reads it.
+func (se *Selector) maxAge(st Stream) time.Duration {
+	switch {
+	case se.IsPrimary() && st == Config:
+		return 0 // A poll waits for the next version and is made again at once.
+	case se.IsPrimary() || se.IsReader() && se.isHurried:
+		return se.part(readPeriod) - exchangeTime
+	case se.IsReader():
+		return se.part(relayTimeout + relayStagger*float64(min(se.rank, maxStaggering)))
+	}
+	return se.part(staleTimeout) + time.Duration(rank(se.own)%uint64(se.part(staleJitter)))
+}
+
+// PollTime returns how long a poll may wait for a new record, so that a stream that brings none is known
+// to be up to date often enough.
+func (se *Selector) PollTime() time.Duration { return se.part(pollTime) - exchangeTime }
+
+func (se *Selector) part(of float64) time.Duration { return time.Duration(float64(se.bound) * of) }
+
 func rank(id units.VMID) uint64 { return xxhash.Sum64String(string(id)) }
 
 const (
@@ -168,7 +224,7 @@
 const everyRoundNodes = 96
 
 // SelectPeers returns the peers to query in the round with this number: this node's reader,
-// the lease holder, and others at random.
+// the lease holder, and others at random. Relays query their primary in each round.
 func (se *Selector) SelectPeers(number uint64, holder units.VMID, peers []units.VMID) []units.VMID {
 	ids := append([]units.VMID(nil), peers...)
 	sort.Slice(ids, func(one, two int) bool { return ids[one] < ids[two] })
@@ -177,6 +233,9 @@
 		moveToFront(ids, holder)
 		moveToFront(ids, se.Reader())
 	}
+	if se.IsReader() || se.isHurried {
+		moveToFront(ids, se.Reader())
+	}
 	return ids[:min(len(ids), MaxRoundPeers)]
 }
 
--- a/internal/rule/watch/watch_test.go
+++ b/internal/rule/watch/watch_test.go
@@ -33,7 +33,7 @@
 		nodes := nodeIDs(tt.nodes)
 		have := 0
 		for _, no := range nodes {
-			se := watch.New(no)
+			se := watch.New(no, 0)
 			se.SetPeers(without(nodes, no))
 			if se.IsReader() {
 				have++
@@ -50,7 +50,7 @@
 	now := time.Unix(1000, 0)
 	early := 0
 	for _, no := range nodes {
-		se := watch.New(no)
+		se := watch.New(no, 0)
 		se.SetPeers(without(nodes, no))
 		se.Synced(watch.Servers, now)
 		if se.IsReader() {
@@ -75,7 +75,7 @@
 // state of it for fresh since the other stream is.
 func TestStreamsAgeApart(t *testing.T) {
 	now := time.Unix(1000, 0)
-	se := watch.New("node-1")
+	se := watch.New("node-1", 0)
 	se.SetPeers(nodeIDs(64)[2:])
 	if se.IsReader() {
 		t.Fatal("node-1 is a reader")
@@ -87,7 +87,7 @@
 }
 
 func TestNextReaderIsQueriedAfterAFailure(t *testing.T) {
-	se := watch.New("node-1")
+	se := watch.New("node-1", 0)
 	se.SetPeers(nodeIDs(64)[2:])
 	first := se.Reader()
 	se.ReaderFailed(first)
@@ -119,11 +119,11 @@
 	nodes := nodeIDs(size)
 	selectors, knows := map[units.VMID]*watch.Selector{}, map[units.VMID]bool{}
 	for _, no := range nodes {
-		selectors[no] = watch.New(no)
+		selectors[no] = watch.New(no, 0)
 		selectors[no].SetPeers(without(nodes, no))
 		knows[no] = selectors[no].IsReader()
 		if !readers {
-			selectors[no] = watch.New(no)
+			selectors[no] = watch.New(no, 0)
 		}
 	}
 	for round := 1; ; round++ {
@@ -159,7 +159,7 @@
 }
 
 func ExampleSelector() {
-	se := watch.New("node-1")
+	se := watch.New("node-1", 0)
 	se.SetPeers([]units.VMID{"node-2", "node-3"})
 	fmt.Println(se.IsReader(), se.ShouldRead(watch.Config, time.Now()))
 	// Output: true true
--- a/internal/state/server/server.go
+++ b/internal/state/server/server.go
@@ -195,6 +195,24 @@
 	return max(0, recoveryGrace-now.Sub(rg.recoveredAt))
 }
 
+// PeerReached reports that the list of a peer matched the store at a time. A store that this node has
+// lost before that is up again, whether or not it serves this node.
+func (rg *Registry) PeerReached(now, synced time.Time) {
+	if rg.storeDown && synced.After(rg.lostAt) {
+		rg.StoreUp(now)
+	}
+}
+
+// PeerGrace returns how long removals are held back that a peer reports which has seen no outage. A
+// peer that is served only since the store was lost here can't tell whether a record was removed or
+// expired in the outage.
+func (rg *Registry) PeerGrace(now, servedSince time.Time) time.Duration {
+	if rg.recoveredAt.IsZero() || !servedSince.After(rg.outageStart) {
+		return 0
+	}
+	return rg.GraceLeft(now)
+}
+
 // SinceRecovery returns the time since an outage of the store ended, at least 1 ns, while
 // records that expired in it may not be rewritten yet; otherwise 0.
 func (rg *Registry) SinceRecovery(now time.Time) time.Duration {
