Customers' limits hold when all nodes of a large fleet start at once

Cause: a node takes a peer that it has not heard from for one that uses its equal part, while it gets nine times that or more; a pair of nodes talks each 1.2 s at 64 nodes and each 3.6 s at 195, and totals were relayed only of customers whose use was known to be near the limit.

Fix: for three seconds from a peer's first report all its totals are relayed, of 64 peers in a report at most, so that all know of all within a few exchanges; relayed totals of a customer are bounded by 64 a report too, which saves bytes in large fleets.

--- a/internal/bench/crowd/node.go
+++ b/internal/bench/crowd/node.go
@@ -192,6 +192,7 @@
 	no.fleet.AddPeerBlocks(now, sent)
 	no.pool.MergeReport(now, other.id, other.incarnation, other.pool.Admitted())
 	no.pool.MergeRelayed(now, other.pool.Relay(now))
+	no.pool.MergeNewcomers(now, other.pool.Newcomers(now, no.rounds))
 	no.members.Heard(now, other.id, true)
 	no.permits.Merge(now, now, other.permits.Observations(now))
 	no.mergeLeaving(other)
--- a/internal/edge/relay/report.go
+++ b/internal/edge/relay/report.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"lycheepick/internal/rule/notice"
@@ -19,6 +20,8 @@
 	SentPrefixes map[units.VMID][]place.BlockID
 	Admitted     pool.Totals
 	PeerTotals   map[units.CustomerID][]pool.RelayedUsage
+	// Newcomers relays the totals of nodes that have started lately.
+	Newcomers []pool.Newcomer
 	// ServerLimits are limits that servers have named.
 	ServerLimits []permit.Observation
 	// ServersLeaving are servers that have said that they leave.
@@ -40,6 +43,7 @@
 	}
 	rl.pool.MergeReport(now, node, inc, rep.Admitted)
 	rl.pool.MergeRelayed(now, rep.PeerTotals)
+	rl.pool.MergeNewcomers(now, rep.Newcomers)
 	rl.versions.Merge(now, rep.Versions)
 	rl.rests.Merge(now, asOf, rep.ServersResting)
 	limits := rl.permits.Merge(now, asOf, rep.ServerLimits)
@@ -70,6 +74,7 @@
 		se.fleet.RecentBlocks(now, rep.SentPrefixes)
 	}
 	rep.Admitted, rep.PeerTotals = rl.pool.Admitted(), rl.pool.Relay(now)
+	rep.Newcomers = rl.pool.Newcomers(now, rand.Uint64())
 	rep.ServerLimits, rep.ServersLeaving = rl.permits.Observations(now), rl.leaving.Heard(now)
 	rep.ServersResting = rl.rests.Heard(now)
 	rl.seeVersions(now)
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -370,7 +370,7 @@
 	out := pulse.Report{
 		Peer:        pulse.Peer{Node: no.settings.VM.ID, Address: no.settings.Listen.Peers},
 		Incarnation: no.incarnation, Wall: now.UnixNano(), HoldsLease: no.isLeader.Load(), StoreTransitions: no.storeHealth.transitionCount(),
-		Loads: rep.Loads, SentPrefixes: rep.SentPrefixes, Admitted: rep.Admitted, PeerAdmitted: rep.PeerTotals,
+		Loads: rep.Loads, SentPrefixes: rep.SentPrefixes, Admitted: rep.Admitted, PeerAdmitted: rep.PeerTotals, Newcomers: rep.Newcomers,
 		ServerLimits: rep.ServerLimits, ServersLeaving: leavingTo(rep.ServersLeaving), ServersResting: restingTo(rep.ServersResting), IssuesPermits: true, Versions: rep.Versions,
 	}
 	if fo := no.config.Load(); fo != nil {
@@ -406,7 +406,7 @@
 func (no *Node) applyReport(re *pulse.Report, asOf time.Time) {
 	now := time.Now()
 	no.relay.ApplyPeerReport(now, asOf, re.Node, re.Incarnation, relay.LoadReport{
-		Loads: re.Loads, SentPrefixes: re.SentPrefixes, Admitted: re.Admitted, PeerTotals: re.PeerAdmitted, ServerLimits: re.ServerLimits,
+		Loads: re.Loads, SentPrefixes: re.SentPrefixes, Admitted: re.Admitted, PeerTotals: re.PeerAdmitted, Newcomers: re.Newcomers, ServerLimits: re.ServerLimits,
 		ServersLeaving: leavingFrom(re.ServersLeaving), ServersResting: restingFrom(re.ServersResting), Versions: re.Versions,
 	})
 	no.mu.Lock()
--- a/internal/peer/pulse/bound.go
+++ b/internal/peer/pulse/bound.go
@@ -26,6 +26,10 @@
 	re.ListSteady = bound.Clamp(re.ListSteady, 0, maxAge)
 	re.SinceStoreOutage = bound.Clamp(re.SinceStoreOutage, 0, maxAge)
 	re.Peers = bound.First(re.Peers, maxPeers)
+	re.Newcomers = bound.First(re.Newcomers, maxPeers)
+	for idx := range re.Newcomers {
+		re.Newcomers[idx].Age = bound.Clamp(re.Newcomers[idx].Age, 0, maxAge)
+	}
 	re.ServerLimits = bound.First(re.ServerLimits, maxServers)
 	re.ServersLeaving = bound.First(re.ServersLeaving, maxServers)
 	for id, lo := range re.Loads {
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -92,6 +92,8 @@
 	// PeerAdmitted are the admissions that the node recently received from other nodes, for
 	// customers close to their limits.
 	PeerAdmitted map[units.CustomerID][]pool.RelayedUsage `json:"heard,omitempty"`
+	// Newcomers are the admissions of nodes that have started lately, as far as this node knows.
+	Newcomers []pool.Newcomer `json:"newcomers,omitempty"`
 	// UsageWindows are the counts of requests that started to run, by usage window.
 	UsageWindows usage.Windows `json:"began,omitempty"`
 	// Offered is the demand by callers since the node's start.
--- a/internal/rule/pool/peers.go
+++ b/internal/rule/pool/peers.go
@@ -23,8 +23,7 @@
 	epoch   time.Time
 	numbers map[units.VMID]int
 	ids     []units.VMID
-	// lastReports, incarnations and firstReports are by the peer's number: its last report, its start as
-	// of that, and its first report since.
+	// By the peers' numbers: the last report of each, its start as of that, and its first report since.
 	lastReports, firstReports []instant
 	incarnations              []int64
 	// latest is the latest of lastReports.
@@ -62,6 +61,12 @@
 	pe.latest = max(pe.latest, at)
 }
 
+// isNewcomer reports whether a peer has started lately and has been heard of since.
+func (pe *peers) isNewcomer(num int, at instant) bool {
+	first := pe.firstReports[num]
+	return first != never && at.since(first) <= newcomerTime && at.since(pe.lastReports[num]) <= maxRelayAge
+}
+
 // silenceTimeout returns the age of a report from which on a peer counts as silent. In a large
 // fleet two nodes seldom exchange, but a node without any reports is isolated itself.
 func (pe *peers) silenceTimeout(now time.Time) time.Duration {
--- a/internal/rule/pool/pool.go
+++ b/internal/rule/pool/pool.go
@@ -80,6 +80,14 @@
 	minRelayDemand = 0.9
 	// maxRelayAge is the age up to which totals are relayed.
 	maxRelayAge = 800 * time.Millisecond
+	// maxRelayed bounds the totals relayed of one customer. A node of a large fleet gets some 50 reports
+	// a second, which name each peer several times all the same.
+	maxRelayed = 64
+	// newcomerTime is the time from a peer's first report for which its totals are relayed, of at most
+	// maxNewcomers peers in one report. All nodes know of each other's use in a few exchanges then, also
+	// if they have started at once.
+	newcomerTime = 3 * time.Second
+	maxNewcomers = 64
 	// minRetryAfter and maxRetryAfter bound the Retry-After of a refused request.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
@@ -119,6 +127,8 @@
 	tolerance Tolerance
 	buckets   map[units.CustomerID]*bucket
 	peers     *peers
+	// relayFrom is the number of the peer from which on totals are relayed, another one each time.
+	relayFrom int
 }
 
 // New returns a pool without limits, which admits everything.
@@ -333,7 +343,9 @@
 func (po *Pool) merge(num int, at instant, incarnation int64, totals Totals) {
 	po.peers.heard(num, at, incarnation)
 	for id, bu := range po.buckets {
-		bu.applyTotal(&bu.usages[num], at, incarnation, totals[id], po.peers.count())
+		if us := &bu.usages[num]; at >= us.reportedAt { // A relayed total may be newer.
+			bu.applyTotal(us, at, incarnation, totals[id], po.peers.count())
+		}
 	}
 }
 
@@ -363,17 +375,73 @@
 	Age         time.Duration `json:"age"`
 }
 
+// Newcomer is a node that has started lately, with its totals as relayed by another node.
+type Newcomer struct {
+	Node        units.VMID    `json:"node"`
+	Incarnation int64         `json:"life"`
+	Age         time.Duration `json:"age"`
+	Totals      Totals        `json:"totals,omitempty"`
+}
+
+// Newcomers returns recent totals of peers that have started lately, from a random one on.
+func (po *Pool) Newcomers(now time.Time, random uint64) []Newcomer {
+	var out []Newcomer
+	pe, at := po.peers, po.peers.instant(now)
+	for idx := range pe.ids {
+		num := (idx + int(random%uint64(pe.count()))) % pe.count()
+		if !pe.isNewcomer(num, at) {
+			continue
+		}
+		if len(out) == maxNewcomers {
+			break
+		}
+		out = append(out, po.newcomer(num, at))
+	}
+	return out
+}
+
+func (po *Pool) newcomer(num int, at instant) Newcomer {
+	pe := po.peers
+	out := Newcomer{Node: pe.ids[num], Incarnation: pe.incarnations[num], Age: at.since(pe.lastReports[num])}
+	for id, bu := range po.buckets {
+		if us := &bu.usages[num]; us.total != 0 && us.incarnation == out.Incarnation {
+			if out.Totals == nil {
+				out.Totals = Totals{}
+			}
+			out.Totals[id] = us.total
+		}
+	}
+	return out
+}
+
+// MergeNewcomers merges the totals of nodes that have started lately, where they are newer than those
+// known here.
+func (po *Pool) MergeNewcomers(now time.Time, list []Newcomer) {
+	if len(list) == 0 {
+		return
+	}
+	po.refillAll(now)
+	for _, ne := range list {
+		num, ok := po.peers.numbers[ne.Node]
+		if at := po.peers.instant(now.Add(-ne.Age)); ok && at > po.peers.lastReports[num] && ne.Incarnation >= po.peers.incarnations[num] {
+			po.merge(num, at, ne.Incarnation, ne.Totals)
+		}
+	}
+}
+
 // Relay returns the peers' totals to relay: recent ones of customers near their limits.
 func (po *Pool) Relay(now time.Time) map[units.CustomerID][]RelayedUsage {
 	var out map[units.CustomerID][]RelayedUsage
 	at := po.peers.instant(now)
+	po.relayFrom += maxRelayed
 	for cu, bu := range po.buckets {
 		if bu.level-bu.unreported(now, po.peers) >= bu.capacity*maxRelayLevel || bu.demand() < bu.limit.Rate*minRelayDemand {
 			continue
 		}
-		for num := range bu.usages {
+		for idx := range bu.usages {
+			num := (idx + po.relayFrom) % len(bu.usages)
 			us := &bu.usages[num]
-			if age := at.since(us.reportedAt); us.total != 0 && age <= maxRelayAge {
+			if age := at.since(us.reportedAt); us.total != 0 && age <= maxRelayAge && len(out[cu]) < maxRelayed {
 				if out == nil {
 					out = map[units.CustomerID][]RelayedUsage{}
 				}
--- a/internal/rule/pool/pool_test.go
+++ b/internal/rule/pool/pool_test.go
@@ -104,6 +104,7 @@
 		one.po.MergeReport(now, two.id, two.incarnation, two.po.Admitted())
 		if !fl.noRelay {
 			one.po.MergeRelayed(now, two.po.Relay(now))
+			one.po.MergeNewcomers(now, two.po.Newcomers(now, uint64(len(fl.admissions))))
 		}
 	}
 }
--- a/internal/rule/pool/start_test.go
+++ b/internal/rule/pool/start_test.go
@@ -58,3 +58,35 @@
 	}
 	return admitted[0] / offered[0], admitted[1] / offered[1], (admitted[2] + admitted[3]) / (offered[2] + offered[3])
 }
+
+// TestHotCustomerWhenAllNodesStart checks that a customer that sends several times its limit stays within it
+// when all nodes start anew, from full use.
+func TestHotCustomerWhenAllNodesStart(t *testing.T) {
+	for _, count := range []int{8, 64, 195} {
+		for _, times := range []float64{1.5, 4} {
+			t.Run(fmt.Sprintf("%d nodes, %.1f limits", count, times), func(t *testing.T) {
+				t.Parallel()
+				fl, rnd, now, owed := newFleet(count), rand.New(rand.NewPCG(11, uint64(count))), start, 0.0
+				for step := 0; now.Before(start.Add(16 * time.Second)); step++ {
+					now = now.Add(tick)
+					if step == 800 || step == 1000 {
+						for _, no := range fl.nodes {
+							fl.restart(now, no)
+						}
+					}
+					fl.gossip(now, step)
+					for owed += limit.Rate * times * tick.Seconds(); owed > 0; {
+						amount := float64(200 + rnd.IntN(16_000))
+						owed -= amount
+						fl.offer(now, rnd.IntN(count), amount)
+					}
+				}
+				have := fl.maxAdmitted()
+				t.Logf("admitted %.2f of what is allowed", have/allowed())
+				if have > allowed() {
+					t.Errorf("admitted in one window: have %.0f, want %.0f or less", have, allowed())
+				}
+			})
+		}
+	}
+}
