Nodes exchange reports in CBOR

Change: the same structs are encoded in CBOR with numbers for fields (fxamacker/cbor), under a method of its own; a peer that doesn't know the method is called with JSON for 30 s.

--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -1,14 +1,15 @@
 // Package pulse implements the state exchange between nodes whose only shared storage is
 // the platform's store. In each exchange both nodes report their load, admissions, clock
 // and versions, and the caller receives the configuration and the server records that it
-// lacks. An exchange is one drpc call with JSON messages.
+// lacks. An exchange is one drpc call with messages in CBOR, or in JSON with peers that know no other
+// form.
 package pulse
 
 import (
 	"context"
-	"encoding/json"
 	"net"
-	"sync/atomic"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -18,7 +19,6 @@
 	"storj.io/drpc/drpcserver"
 
 	"lycheepick/internal/plat/stream"
-	"lycheepick/internal/rule/bound"
 	"lycheepick/internal/rule/crash"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/notice"
@@ -48,68 +48,69 @@
 
 // Peer is a node with its peer address, which is host:port.
 type Peer struct {
-	Node    units.VMID `json:"node"`
-	Address string     `json:"address"`
+	Node    units.VMID `json:"node" cbor:"1,keyasint"`
+	Address string     `json:"address" cbor:"2,keyasint"`
 }
 
-// Report is a node's own state, as of the time of the exchange.
+// Report is a node's own state, as of the time of the exchange. In CBOR the fields of messages have
+// numbers, which stay and are not used again.
 type Report struct {
 	Peer
 	// Incarnation is the node's start time in Unix nanoseconds.
-	Incarnation int64 `json:"life"`
+	Incarnation int64 `json:"life" cbor:"3,keyasint"`
 	// Wall is the node's wall clock in Unix nanoseconds.
-	Wall int64 `json:"wall"`
+	Wall int64 `json:"wall" cbor:"4,keyasint"`
 	// HoldsLease is set if the node holds the lease for the platform's duties.
-	HoldsLease bool `json:"holding,omitempty"`
+	HoldsLease bool `json:"holding,omitempty" cbor:"5,keyasint,omitempty"`
 	// StoreTransitions counts the losses and recoveries of the store that the node has seen
 	// since its start. When it grows, peers restart their own reads of the store.
-	StoreTransitions int64 `json:"store_turns,omitempty"`
+	StoreTransitions int64 `json:"store_turns,omitempty" cbor:"6,keyasint,omitempty"`
 	// Forwards is set by nodes that take requests of other nodes.
-	Forwards bool `json:"forwards,omitempty"`
+	Forwards bool `json:"forwards,omitempty" cbor:"7,keyasint,omitempty"`
 	// Unreached are the services whose servers the node can't reach by its own network.
-	Unreached []units.TargetID `json:"unreached,omitempty"`
+	Unreached []units.TargetID `json:"unreached,omitempty" cbor:"8,keyasint,omitempty"`
 	// Config is the version of the configuration in force at the node, and ConfigAge the time
 	// since it was last known to match the store. Nodes up to version 0.4 send no age.
-	Config    units.Version `json:"config"`
-	ConfigAge time.Duration `json:"config_age,omitempty"`
+	Config    units.Version `json:"config" cbor:"9,keyasint"`
+	ConfigAge time.Duration `json:"config_age,omitempty" cbor:"10,keyasint,omitempty"`
 	// Servers is the stream offset up to which the node has folded server records into
 	// its list, and ServersAge the time since that list was last known to match the store.
-	Servers units.Offset `json:"servers"`
+	Servers units.Offset `json:"servers" cbor:"11,keyasint"`
 	// StoreEra is the era of the store to which Servers belongs.
-	StoreEra   units.Era     `json:"store_era,omitempty"`
-	ServersAge time.Duration `json:"agreed"`
+	StoreEra   units.Era     `json:"store_era,omitempty" cbor:"12,keyasint,omitempty"`
+	ServersAge time.Duration `json:"agreed" cbor:"13,keyasint"`
 	// SinceStoreOutage is the time since the end of a store outage in which server records
 	// may have expired. It is set only while such records may still be missing.
-	SinceStoreOutage time.Duration `json:"store_back,omitempty"`
+	SinceStoreOutage time.Duration `json:"store_back,omitempty" cbor:"14,keyasint,omitempty"`
 	// ListSteady is the time for which the list has matched the store without a gap, 0 if unknown.
-	ListSteady time.Duration `json:"steady,omitempty"`
+	ListSteady time.Duration `json:"steady,omitempty" cbor:"15,keyasint,omitempty"`
 	// Loads is the load that the node's own requests put on each server.
-	Loads map[units.VMID]place.Load `json:"loads,omitempty"`
+	Loads map[units.VMID]place.Load `json:"loads,omitempty" cbor:"16,keyasint,omitempty"`
 	// SentPrefixes are the prompt prefix blocks that the node recently sent to each server.
-	SentPrefixes map[units.VMID][]place.BlockID `json:"sent,omitempty"`
+	SentPrefixes map[units.VMID][]place.BlockID `json:"sent,omitempty" cbor:"17,keyasint,omitempty"`
 	// Admitted are the totals of units that the node has admitted since its start.
-	Admitted pool.Totals `json:"admitted,omitempty"`
+	Admitted pool.Totals `json:"admitted,omitempty" cbor:"18,keyasint,omitempty"`
 	// PeerAdmitted are the admissions that the node recently received from other nodes, for
 	// customers close to their limits.
-	PeerAdmitted map[units.CustomerID][]pool.RelayedUsage `json:"heard,omitempty"`
+	PeerAdmitted map[units.CustomerID][]pool.RelayedUsage `json:"heard,omitempty" cbor:"19,keyasint,omitempty"`
 	// Newcomers are the admissions of nodes that have started lately, as far as this node knows.
-	Newcomers []pool.Newcomer `json:"newcomers,omitempty"`
+	Newcomers []pool.Newcomer `json:"newcomers,omitempty" cbor:"20,keyasint,omitempty"`
 	// UsageWindows are the counts of requests that started to run, by usage window.
-	UsageWindows usage.Windows `json:"began,omitempty"`
+	UsageWindows usage.Windows `json:"began,omitempty" cbor:"21,keyasint,omitempty"`
 	// Offered is the demand by callers since the node's start.
-	Offered map[units.TargetID]Demand `json:"offered,omitempty"`
+	Offered map[units.TargetID]Demand `json:"offered,omitempty" cbor:"22,keyasint,omitempty"`
 	// ServerLimits are limits that servers have named, and IssuesPermits is set by nodes that
 	// issue permits for them and keep the origins of streams.
-	ServerLimits []permit.Observation `json:"server_limits,omitempty"`
+	ServerLimits []permit.Observation `json:"server_limits,omitempty" cbor:"23,keyasint,omitempty"`
 	// ServersLeaving are servers that have said in an answer that they leave.
-	ServersLeaving []Departure `json:"servers_leaving,omitempty"`
+	ServersLeaving []Departure `json:"servers_leaving,omitempty" cbor:"24,keyasint,omitempty"`
 	// ServersResting are servers that have refused requests lately.
-	ServersResting []Resting `json:"servers_resting,omitempty"`
-	IssuesPermits  bool      `json:"issues_permits,omitempty"`
+	ServersResting []Resting `json:"servers_resting,omitempty" cbor:"25,keyasint,omitempty"`
+	IssuesPermits  bool      `json:"issues_permits,omitempty" cbor:"26,keyasint,omitempty"`
 	// Versions are the software versions of services whose servers have had several.
-	Versions map[units.TargetID]origin.Ages `json:"versions,omitempty"`
+	Versions map[units.TargetID]origin.Ages `json:"versions,omitempty" cbor:"27,keyasint,omitempty"`
 	// Peers is a subset of the nodes with which this node exchanges state.
-	Peers []Peer `json:"peers,omitempty"`
+	Peers []Peer `json:"peers,omitempty" cbor:"28,keyasint,omitempty"`
 }
 
 // LostStore reports whether the node's own reads of the store fail.
@@ -118,22 +119,22 @@
 // Departure is a server that said some time ago that it leaves.
 type Departure struct {
 	notice.Server
-	Age time.Duration `json:"age"`
+	Age time.Duration `json:"age" cbor:"3,keyasint"`
 }
 
 // Resting is a server that refused a request some time ago and is to be avoided for Rest after that.
 type Resting struct {
 	notice.Server
-	Rest  time.Duration `json:"rest"`
-	Age   time.Duration `json:"age"`
-	Named bool          `json:"named,omitempty"`
+	Rest  time.Duration `json:"rest" cbor:"3,keyasint"`
+	Age   time.Duration `json:"age" cbor:"4,keyasint"`
+	Named bool          `json:"named,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // Demand counts requests, their prompt tokens, and the requests that started late.
 type Demand struct {
-	Requests     int64        `json:"requests"`
-	PromptTokens units.Tokens `json:"prompt"`
-	Late         int64        `json:"late,omitempty"`
+	Requests     int64        `json:"requests" cbor:"3,keyasint"`
+	PromptTokens units.Tokens `json:"prompt" cbor:"4,keyasint"`
+	Late         int64        `json:"late,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // ConfigRequest tells whether and in which encoding a request asks for a newer configuration.
@@ -153,10 +154,10 @@
 	Report
 	// WantServers requests the server records that have changed from offset Report.Servers
 	// on.
-	WantServers bool          `json:"want_servers,omitempty"`
-	WantConfig  ConfigRequest `json:"want_config,omitempty"`
+	WantServers bool          `json:"want_servers,omitempty" cbor:"29,keyasint,omitempty"`
+	WantConfig  ConfigRequest `json:"want_config,omitempty" cbor:"30,keyasint,omitempty"`
 	// Crashes is what the caller knows of crashes.
-	Crashes crash.Summary `json:"crashes,omitzero"`
+	Crashes crash.Summary `json:"crashes,omitzero" cbor:"31,keyasint,omitzero"`
 }
 
 // Reply is the answer to a Request, with the replying node's own report.
@@ -164,23 +165,23 @@
 	Report
 	// RawConfig is the encoded configuration, and PackedConfig the same compressed with DEFLATE.
 	// At most one is set, and only if the caller asks for it and its version is older.
-	RawConfig    []byte `json:"raw_config,omitempty"`
-	PackedConfig []byte `json:"config_deflate,omitempty"`
+	RawConfig    []byte `json:"raw_config,omitempty" cbor:"32,keyasint,omitempty"`
+	PackedConfig []byte `json:"config_deflate,omitempty" cbor:"33,keyasint,omitempty"`
 	// ConfigDeferred is set if the node has sent too many configurations lately to send one now.
-	ConfigDeferred bool `json:"config_deferred,omitempty"`
+	ConfigDeferred bool `json:"config_deferred,omitempty" cbor:"34,keyasint,omitempty"`
 	// Records are the server records that the caller lacks, in order of their offsets.
-	Records []stream.Keyed `json:"records,omitempty"`
+	Records []stream.Keyed `json:"records,omitempty" cbor:"35,keyasint,omitempty"`
 	// Complete is set if no change between the caller's offset and Report.Servers is
 	// missing, and Snapshot if Records contains every server, so that servers not in it
 	// have been removed.
-	Complete bool `json:"whole,omitempty"`
-	Snapshot bool `json:"listing,omitempty"`
+	Complete bool `json:"whole,omitempty" cbor:"36,keyasint,omitempty"`
+	Snapshot bool `json:"listing,omitempty" cbor:"37,keyasint,omitempty"`
 	// HeldBack are the servers whose removals the node holds back, as their records may only have
 	// expired. Verdicts is set by nodes that send it.
-	HeldBack []units.VMID `json:"held_back,omitempty"`
-	Verdicts bool         `json:"verdicts,omitempty"`
+	HeldBack []units.VMID `json:"held_back,omitempty" cbor:"38,keyasint,omitempty"`
+	Verdicts bool         `json:"verdicts,omitempty" cbor:"39,keyasint,omitempty"`
 	// Crashes is what the caller lacks of crashes.
-	Crashes crash.Report `json:"crashes,omitzero"`
+	Crashes crash.Report `json:"crashes,omitzero" cbor:"40,keyasint,omitzero"`
 }
 
 // PermitReply answers a permit.Request. If another node issues the server's permits, Issuer is
@@ -207,8 +208,10 @@
 
 const (
 	exchangeMethod = "/pulse/exchange"
-	permitsMethod  = "/pulse/permits"
-	originsMethod  = "/pulse/origins"
+	// compactMethod is exchangeMethod with messages in CBOR.
+	compactMethod = "/pulse/exchange.cbor"
+	permitsMethod = "/pulse/permits"
+	originsMethod = "/pulse/origins"
 	// waitingTimeout bounds the calls that a caller's request waits for.
 	waitingTimeout = 150 * time.Millisecond
 	// dialTimeout and callTimeout bound an exchange; round trips to peers take milliseconds.
@@ -225,40 +228,19 @@
 	maxIdlePerPeer = 1
 )
 
-// Traffic counts the bytes of the messages that a node sends and receives.
-type Traffic struct{ Sent, Received atomic.Int64 }
-
-type jsonEncoding struct{ traffic *Traffic }
-
-// Marshal implements drpc.Encoding.
-func (en jsonEncoding) Marshal(msg drpc.Message) ([]byte, error) {
-	raw, err := json.Marshal(msg)
-	en.traffic.Sent.Add(int64(len(raw)))
-	return raw, err
-}
-
-// Unmarshal implements drpc.Encoding.
-func (en jsonEncoding) Unmarshal(raw []byte, msg drpc.Message) error {
-	en.traffic.Received.Add(int64(len(raw)))
-	if err := bound.JSON(raw, bound.Message, msg); err != nil {
-		return err
-	}
-	if bo, ok := msg.(interface{ bound() }); ok {
-		bo.bound()
-	}
-	return nil
-}
-
 // Client calls peers and keeps idle connections for reuse.
 type Client struct {
 	pool     *drpcpool.Pool[string, drpcpool.Conn]
 	forwards *drpcpool.Pool[string, drpcpool.Conn]
 	encoding jsonEncoding
+	compact  cborEncoding
+	// jsonOnly holds the addresses of peers that know no CBOR, with the times at which that was seen.
+	jsonOnly sync.Map
 }
 
 // NewClient returns a client without connections that counts its messages in tr.
 func NewClient(tr *Traffic) *Client {
-	return &Client{encoding: jsonEncoding{tr}, forwards: newForwardPool(), pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+	return &Client{encoding: jsonEncoding{tr}, compact: newCBOR(tr), forwards: newForwardPool(), pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 		Expiration: idleTimeout, Capacity: maxIdleConns, KeyCapacity: maxIdlePerPeer,
 	})}
 }
@@ -269,13 +251,44 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	cn := cl.pool.Get(ctx, addr, dial)
+	if !cl.isJSONOnly(addr) {
+		out, err := invokeExchange(ctx, cn, compactMethod, cl.compact, rq)
+		if err == nil || !isUnknownMethod(err) {
+			return out, fault.Wrap(op, KindFailed, err)
+		}
+		cl.jsonOnly.Store(addr, time.Now())
+	}
+	out, err := invokeExchange(ctx, cn, exchangeMethod, cl.encoding, rq)
+	return out, fault.Wrap(op, KindFailed, err)
+}
+
+func invokeExchange(ctx context.Context, cn drpc.Conn, method string, en drpc.Encoding, rq *Request) (*Reply, error) {
 	var out Reply
-	if err := cn.Invoke(ctx, exchangeMethod, cl.encoding, rq, &out); err != nil {
-		return nil, fault.Wrap(op, KindFailed, err)
+	if err := cn.Invoke(ctx, method, en, rq, &out); err != nil {
+		return nil, err
 	}
 	return &out, nil
 }
 
+// jsonOnlyTime is how long a peer is called with JSON messages after it did not know CBOR. A newer build
+// may have taken its place then.
+const jsonOnlyTime = 30 * time.Second
+
+// isJSONOnly reports whether the peer at an address knows no CBOR.
+func (cl *Client) isJSONOnly(addr string) bool {
+	at, ok := cl.jsonOnly.Load(addr)
+	if ok && time.Since(at.(time.Time)) > jsonOnlyTime {
+		cl.jsonOnly.Delete(addr)
+		return false
+	}
+	return ok
+}
+
+// unknownMethod begins the error that a peer returns for a method which its build doesn't have.
+const unknownMethod = "unknown method"
+
+func isUnknownMethod(err error) bool { return strings.Contains(err.Error(), unknownMethod) }
+
 // AskPermits asks the peer at addr for permits.
 func (cl *Client) AskPermits(ctx context.Context, addr string, rq *permit.Request) (*PermitReply, error) {
 	const op = "pulse.AskPermits"
@@ -329,12 +342,15 @@
 type handler struct {
 	handle   Handler
 	encoding jsonEncoding
+	compact  cborEncoding
 }
 
 // HandleRPC implements drpc.Handler.
 func (ha handler) HandleRPC(st drpc.Stream, rpc string) error {
 	const op = "pulse.HandleRPC"
 	switch rpc {
+	case compactMethod:
+		return fault.Wrap(op, KindFailed, answer(st, ha.compact, ha.handle.Exchange))
 	case exchangeMethod:
 		return fault.Wrap(op, KindFailed, answer(st, ha.encoding, ha.handle.Exchange))
 	case permitsMethod:
@@ -347,7 +363,7 @@
 			return nil
 		}
 	}
-	return fault.New(op, KindFailed, "unknown method %.40q", rpc)
+	return fault.New(op, KindFailed, unknownMethod+" %.40q", rpc)
 }
 
 // answer reads the message of a call and sends the reply of handle.
@@ -374,7 +390,7 @@
 // the open connections have ended, and returns nil. It counts its messages in tr.
 func Serve(ctx context.Context, ls net.Listener, ha Handler, tr *Traffic) error {
 	const op = "pulse.Serve"
-	srv := drpcserver.New(handler{ha, jsonEncoding{tr}})
+	srv := drpcserver.New(handler{ha, jsonEncoding{tr}, newCBOR(tr)})
 	stop := context.AfterFunc(ctx, func() { _ = ls.Close() })
 	defer stop()
 	var wg conc.WaitGroup
--- a/internal/rule/notice/notice.go
+++ b/internal/rule/notice/notice.go
@@ -18,8 +18,8 @@
 // Server identifies one incarnation of a backend server. What it says does not apply to the next
 // one.
 type Server struct {
-	ID          units.VMID `json:"server"`
-	StartUnixMS int64      `json:"start,omitempty"`
+	ID          units.VMID `json:"server" cbor:"1,keyasint"`
+	StartUnixMS int64      `json:"start,omitempty" cbor:"2,keyasint,omitempty"`
 }
 
 // Policy decides which notices of a kind hold. The zero value of V means that the server says
--- a/internal/rule/place/place.go
+++ b/internal/rule/place/place.go
@@ -55,9 +55,9 @@
 // Load is the work that one node has at a server.
 type Load struct {
 	// Running is the number of requests that were dispatched and have not ended.
-	Running int
+	Running int `cbor:"1,keyasint,omitempty"`
 	// PendingPrefill is the number of prompt tokens of requests without a first token.
-	PendingPrefill units.Tokens `json:"Unread"`
+	PendingPrefill units.Tokens `json:"Unread" cbor:"2,keyasint,omitempty"`
 }
 
 // Choice is a server with the predictions for the request there.
--- a/internal/rule/pool/pool.go
+++ b/internal/rule/pool/pool.go
@@ -369,18 +369,18 @@
 
 // RelayedUsage is one node's total for one customer, as relayed by another node.
 type RelayedUsage struct {
-	Node        units.VMID    `json:"node"`
-	Incarnation int64         `json:"life"`
-	Total       float64       `json:"total"`
-	Age         time.Duration `json:"age"`
+	Node        units.VMID    `json:"node" cbor:"1,keyasint"`
+	Incarnation int64         `json:"life" cbor:"2,keyasint"`
+	Total       float64       `json:"total" cbor:"3,keyasint"`
+	Age         time.Duration `json:"age" cbor:"4,keyasint"`
 }
 
 // Newcomer is a node that has started lately, with its totals as relayed by another node.
 type Newcomer struct {
-	Node        units.VMID    `json:"node"`
-	Incarnation int64         `json:"life"`
-	Age         time.Duration `json:"age"`
-	Totals      Totals        `json:"totals,omitempty"`
+	Node        units.VMID    `json:"node" cbor:"1,keyasint"`
+	Incarnation int64         `json:"life" cbor:"2,keyasint"`
+	Age         time.Duration `json:"age" cbor:"3,keyasint"`
+	Totals      Totals        `json:"totals,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
 // Newcomers returns recent totals of peers that have started lately, from a random one on.
