--- a/internal/node/entry/order.go
+++ b/internal/node/entry/order.go
@@ -13,12 +13,6 @@
 )
 
 const (
-	// orderRetryPeriod is the time after which an order that was refused or is not met yet is
-	// sent again.
-	orderRetryPeriod = 2 * time.Second
-	// orderConfirmPeriod is the time after which an order is sent again even if it is met,
-	// since a late call of an earlier leader may have overwritten it.
-	orderConfirmPeriod = 10 * time.Second
 	// demandWarmup is the time of traffic after which the measured demand replaces the prior.
 	demandWarmup = 4 * time.Second
 )
@@ -30,19 +24,12 @@
 	spot    bool
 }
 
-// sentOrder is the last order for a key and whether the platform accepted it.
-type sentOrder struct {
-	count    int
-	at       time.Time
-	accepted bool
-}
-
 type orders struct {
 	demand map[units.TargetID]*scale.Demand
 	// demandRates are the demands on which orders are based.
 	demandRates map[units.TargetID]units.TokensPerSecond
 	need        map[units.TargetID]scale.Need
-	sent        map[orderKey]sentOrder
+	sent        map[orderKey]scale.Sent
 	noSpot      map[units.TargetID]scale.ZonesWithoutSpot
 	// firstTraffic is when the first request to any node was seen.
 	firstTraffic time.Time
@@ -51,7 +38,7 @@
 }
 
 func newOrders() orders {
-	return orders{demand: map[units.TargetID]*scale.Demand{}, demandRates: map[units.TargetID]units.TokensPerSecond{}, need: map[units.TargetID]scale.Need{}, sent: map[orderKey]sentOrder{}, noSpot: map[units.TargetID]scale.ZonesWithoutSpot{}}
+	return orders{demand: map[units.TargetID]*scale.Demand{}, demandRates: map[units.TargetID]units.TokensPerSecond{}, need: map[units.TargetID]scale.Need{}, sent: map[orderKey]scale.Sent{}, noSpot: map[units.TargetID]scale.ZonesWithoutSpot{}}
 }
 
 // rates returns the demands on which orders are based, for the lease record.
@@ -169,16 +156,9 @@
 	}
 	for _, or := range scale.Plan(no.settings.Orders, se.Scaling, no.leader.orders.need[se.ID], no.updateNoSpot(se, have, leaving)) {
 		key := orderKey{service: se.ID, zone: or.Zone, spot: or.Spot}
-		last, known := no.leader.orders.sent[key]
-		age := now.Sub(last.at)
-		same := known && last.accepted && last.count == or.Count
-		if same && (age < orderRetryPeriod || (have[key] == or.Count && age < orderConfirmPeriod)) {
-			continue
-		}
-		if known && !last.accepted && age < orderRetryPeriod {
-			continue
-		}
-		if !known && or.Count == 0 && have[key] == 0 {
+		last := no.leader.orders.sent[key].Seen(or.Count, have[key])
+		no.leader.orders.sent[key] = last
+		if !last.IsDue(now, or.Count, have[key], se.Scaling.BootTime) {
 			continue
 		}
 		if !no.sendOrder(ctx, key, or.Count, have[key], no.leader.orders.demandRates[se.ID]) {
@@ -197,13 +177,14 @@
 	}
 	for zo := range se.Scaling.ZonePrices {
 		key := orderKey{service: se.ID, zone: zo, spot: true}
-		last, known := od.sent[key]
+		last := od.sent[key]
+		known := !last.At.IsZero()
 		// Servers that leave while the order is met were scaled down, not reclaimed.
 		left := leaving[key]
-		if known && have[key] >= last.count {
+		if known && have[key] >= last.Count {
 			left = 0
 		}
-		out.Update(zo, left, have[key], last.count, known && !last.accepted)
+		out.Update(zo, left, have[key], last.Count, known && !last.Accepted)
 	}
 	return out
 }
@@ -215,7 +196,7 @@
 		return false
 	}
 	err := no.platform.Cloud.Scale(ctx, fence, key.service, key.zone, key.spot, count)
-	no.leader.orders.sent[key] = sentOrder{count: count, at: time.Now(), accepted: err == nil}
+	no.leader.orders.sent[key] = scale.Sent{Count: count, At: time.Now(), Accepted: err == nil}
 	no.log.Info("servers_ordered", zap.String("service", string(key.service)), zap.String("zone", string(key.zone)),
 		zap.Bool("spot", key.spot), zap.Int("count", count), zap.Int("have", have), zap.Float64("demand", float64(rate)),
 		zap.Float64("read_rate", float64(no.relay.PrefillRate(key.service))),
