entry: origins that wait for the archive take memory only while there are any

Read once more: two channels of 8,192 records took 0.8 MB in each node, a tenth of a small node's peak, and lost origins once a writer of 64 nodes got those of some minutes at once. They are kept in lists of up to 32,768 now. TestStreamsOfTwoVersionsAfterAllNodesRestart and its kin pass.

--- a/internal/node/entry/archive.go
+++ b/internal/node/entry/archive.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"lycheepick/internal/edge/pause"
@@ -29,8 +30,8 @@
 	nodesPerWriter = 64
 	// writerTries is the number of nodes that are asked to write until a node writes itself.
 	writerTries = 2
-	// archiveQueue bounds the origins that wait to be handed over or written.
-	archiveQueue = 8192
+	// archiveBacklog bounds the origins that wait to be handed over or written.
+	archiveBacklog = 32 << 10
 	// archiveWriteTries bounds the attempts to write a batch. They cover an outage of the store for as
 	// long as a stream may last.
 	archiveWriteTries = 60
@@ -48,7 +49,7 @@
 type archive struct {
 	no *Node
 	// collected holds the origins of this node, received those that it has to write for others.
-	collected, received chan origin.Record
+	collected, received *backlog
 
 	// reading is held by the request that reads the store. It guards the fields below.
 	reading chan struct{}
@@ -61,44 +62,73 @@
 
 func newArchive(no *Node) *archive {
 	return &archive{
-		no: no, collected: make(chan origin.Record, archiveQueue), received: make(chan origin.Record, archiveQueue),
+		no: no, collected: newBacklog(), received: newBacklog(),
 		reading: make(chan struct{}, 1), book: origin.NewArchive(),
 	}
 }
 
-// put queues origins. Those that don't fit are known to nodes alone.
-func (ar *archive) put(queue chan origin.Record, list ...origin.Record) {
-	for idx, re := range list {
-		select {
-		case queue <- re:
-		default:
-			ar.no.log.Warn("origins_not_archived", zap.Int("count", len(list)-idx), zap.String("reason", "queue is full"))
-			return
-		}
-	}
+// backlog holds origins until they are sent. It takes memory only while there are any.
+type backlog struct {
+	mu   sync.Mutex
+	list []origin.Record
+	// news has an item while there are origins.
+	news chan struct{}
 }
 
-// drain returns the origins in a queue.
-func drain(queue chan origin.Record) (out []origin.Record) {
-	for len(queue) > 0 {
-		out = append(out, <-queue)
+func newBacklog() *backlog { return &backlog{news: make(chan struct{}, 1)} }
+
+// put adds origins, and returns the number of those that don't fit.
+func (bl *backlog) put(list ...origin.Record) (left int) {
+	bl.mu.Lock()
+	defer bl.mu.Unlock()
+	fit := min(len(list), archiveBacklog-len(bl.list))
+	bl.list = append(bl.list, list[:fit]...)
+	select {
+	case bl.news <- struct{}{}:
+	default:
 	}
+	return len(list) - fit
+}
+
+// take returns all origins and removes them.
+func (bl *backlog) take() []origin.Record {
+	bl.mu.Lock()
+	defer bl.mu.Unlock()
+	out := bl.list
+	bl.list = nil
 	return out
 }
 
-// handOver hands this node's origins to the node that writes them until ctx ends.
-func (ar *archive) handOver(ctx context.Context) {
+// put adds origins to a backlog. Those that don't fit are known to nodes alone.
+func (ar *archive) put(bl *backlog, list ...origin.Record) {
+	if left := bl.put(list...); left > 0 {
+		ar.no.log.Warn("origins_not_archived", zap.Int("count", left), zap.String("reason", "backlog is full"))
+	}
+}
+
+// each calls do with what has come in a batch time, whenever there are origins, until ctx ends.
+func (bl *backlog) each(ctx context.Context, batch time.Duration, do func(context.Context, []origin.Record)) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case re := <-ar.collected:
-			pause.For(ctx, archiveBatchTime)
-			ar.send(ctx, append(drain(ar.collected), re))
+		case <-bl.news:
+		}
+		pause.For(ctx, batch)
+		if list := bl.take(); len(list) > 0 {
+			do(ctx, list)
 		}
 	}
 }
 
+// run hands this node's origins to the nodes that write them, and writes those of others, until ctx ends.
+func (ar *archive) run(ctx context.Context) {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { ar.collected.each(ctx, archiveBatchTime, ar.send) })
+	wg.Go(func() { ar.received.each(ctx, archiveWriteTime, ar.append) })
+}
+
 // send hands origins to the nodes that may write them, one after the other, until one takes them.
 func (ar *archive) send(ctx context.Context, list []origin.Record) {
 	for _, pe := range ar.writers() {
@@ -127,19 +157,6 @@
 	return out
 }
 
-// write writes the origins that this node has received to the store until ctx ends.
-func (ar *archive) write(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case re := <-ar.received:
-			pause.For(ctx, archiveWriteTime)
-			ar.append(ctx, append(drain(ar.received), re))
-		}
-	}
-}
-
 // append writes a batch. A second write of it does no harm, so that a lost answer is one more reason to
 // try again.
 func (ar *archive) append(ctx context.Context, list []origin.Record) {
--- a/internal/node/entry/origins.go
+++ b/internal/node/entry/origins.go
@@ -179,8 +179,7 @@
 func (og *origins) run(ctx context.Context) {
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { og.archive.handOver(ctx) })
-	wg.Go(func() { og.archive.write(ctx) })
+	wg.Go(func() { og.archive.run(ctx) })
 	for {
 		select {
 		case <-ctx.Done():
