pool: comments of the model and of peers that have not reported

Read as a newcomer would: the model of the tests was not said to be one, and the comment on a peer's usage named a zero value that is no longer that of a peer that has not reported. No code changes.

--- a/internal/rule/pool/model_test.go
+++ b/internal/rule/pool/model_test.go
@@ -92,14 +92,15 @@
 	lastReport time.Time
 }
 
-// model holds the buckets of all customers.
+// model is the pool written plainly: it looks each peer up in maps and sums over all of them at each report.
+// The pool has to admit the same.
 type model struct {
 	tolerance pool.Tolerance
 	buckets   map[units.CustomerID]*bucket
 	peers     map[units.VMID]*peerState
 }
 
-// New returns a pool without limits, which admits everything.
+// newModel returns a pool without limits, which admits everything.
 func newModel(to pool.Tolerance) *model {
 	return &model{tolerance: to, buckets: map[units.CustomerID]*bucket{}, peers: map[units.VMID]*peerState{}}
 }
--- a/internal/rule/pool/pool.go
+++ b/internal/rule/pool/pool.go
@@ -109,8 +109,7 @@
 	usages []peerUsage
 }
 
-// peerUsage is what a peer uses of one customer's limit. The zero value is that of a peer that has not
-// reported.
+// peerUsage is what a peer uses of one customer's limit; see noUsages for one that has not reported.
 type peerUsage struct {
 	total float64
 	rate  float64
