A node vouches for the store over gaps in which no record can expire

Cause: readers whose answers come 1.6 s late report a loss of the store, and the others hold removals back until a peer vouches that the store was up. A node vouched only if its list had matched the store without a gap of 1.5 s; at 360 nodes usual gaps are longer. A record of a live server can expire in no outage shorter than two heartbeats, so that such a gap hides none.

--- a/internal/node/entry/follow.go
+++ b/internal/node/entry/follow.go
@@ -298,13 +298,9 @@
 	return no.servers.GraceLeft(now)
 }
 
-// maxListGap is the time between two matches of the list with the store up to which the store counts as
-// up in between.
-const maxListGap = 1500 * time.Millisecond
-
 // setSynced records that the list of servers matched the store at a time. The caller holds mu.
 func (no *Node) setSynced(at time.Time) {
-	if at.Sub(no.watch.SyncedAt(watch.Servers)) > maxListGap {
+	if at.Sub(no.watch.SyncedAt(watch.Servers)) > no.servers.ShortestExpiry() {
 		no.steadySince = at
 	}
 	no.watch.Synced(watch.Servers, at)
--- a/internal/state/server/server.go
+++ b/internal/state/server/server.go
@@ -96,6 +96,12 @@
 // server.
 const expiryHeartbeats = 3
 
+// ShortestExpiry returns the shortest outage of the store in which the record of a live server can expire:
+// it may have been written a heartbeat before.
+func (rg *Registry) ShortestExpiry() time.Duration {
+	return max(minOutage, (expiryHeartbeats-1)*rg.heartbeat)
+}
+
 // NewRegistry returns a registry without servers, at offset 0. heartbeat is the time between two
 // records of a server, 0 if unknown.
 func NewRegistry(heartbeat time.Duration) *Registry {
