Answers to HEAD, and of status 204 and 304, have no body

What callers saw: a HEAD request that a server answered at once got 504 at its deadline, since the node waited for the body that the answer's length announces; a 204 or 304 without a length waited for the end of its connection, which a server keeps open. Both held a slot at the server meanwhile. Evidence: TestAnswersWithoutBody, seven cases, each failed after 2.0 s before; TestHeadRequest with real nodes, straight and through another node: 504 after 8 s before. A HEAD answer keeps the length that the server states; through another node it isn't known, and the answer says chunked. A body that a faulty server sends all the same stays unread, and its connection is not used again.

--- a/internal/edge/call/body.go
+++ b/internal/edge/call/body.go
@@ -26,9 +26,15 @@
 	modeUntilClose
 )
 
-func newBody(hd *fasthttp.ResponseHeader, rd *bufio.Reader) *Body {
+// newBody returns the body that follows a header. An answer to a HEAD request has none, nor has one of
+// status 204 or 304, whatever length its header states.
+func newBody(hd *fasthttp.ResponseHeader, rd *bufio.Reader, isHead bool) *Body {
 	const chunked, untilClose = -1, -2
 	bo := &Body{rd: rd}
+	if status := hd.StatusCode(); isHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+		bo.atEnd = true
+		return bo
+	}
 	switch size := hd.ContentLength(); size {
 	case chunked:
 		bo.mode = modeChunked
--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -122,6 +122,8 @@
 	cn        *conn
 	addr      string
 	stopAbort func() bool
+	// isHead is set for HEAD requests, whose answers have no body.
+	isHead bool
 	// cut is set if the server closed the connection before it had read the request.
 	cut bool
 }
@@ -160,7 +162,7 @@
 	}
 	cn.setPhase(co.Late.phase())
 	stop := context.AfterFunc(ctx, cn.contextEnded)
-	an := &Answer{cl: cl, cn: cn, addr: addr, stopAbort: stop}
+	an := &Answer{cl: cl, cn: cn, addr: addr, stopAbort: stop, isHead: req.Header.IsHead()}
 	if err := ctx.Err(); err != nil {
 		an.discard()
 		return nil, fault.Wrap(op, KindNotSent, err)
@@ -183,7 +185,7 @@
 		an.giveUp(ctx, co.Late)
 		return nil, fault.Wrap(op, KindBroken, err)
 	}
-	an.Body = newBody(&an.Header, cn.rd)
+	an.Body = newBody(&an.Header, cn.rd, an.isHead)
 	if cn.setPhase(receives); ctx.Err() != nil {
 		cn.abort()
 	}
@@ -233,7 +235,7 @@
 	if err := an.readHead(); err != nil {
 		return fault.Wrap(op, KindBroken, err)
 	}
-	an.Body, an.First = newBody(&an.Header, an.cn.rd), false
+	an.Body, an.First = newBody(&an.Header, an.cn.rd, an.isHead), false
 	return nil
 }
 
--- a/internal/edge/call/late.go
+++ b/internal/edge/call/late.go
@@ -101,6 +101,6 @@
 	if an.readHead() != nil {
 		return
 	}
-	an.Body = newBody(&an.Header, an.cn.rd)
+	an.Body = newBody(&an.Header, an.cn.rd, an.isHead)
 	la.Heard(an)
 }
--- a/internal/edge/door/answer.go
+++ b/internal/edge/door/answer.go
@@ -36,9 +36,15 @@
 // Status returns the HTTP status of the response, 0 before it is started.
 func (an *Answer) Status() int { return an.status }
 
-// Respond sends a complete response with its content length.
+// Respond sends a complete response with its content length. The one to a HEAD request keeps the length that
+// its header states.
 func (an *Answer) Respond(hd *fasthttp.ResponseHeader, body []byte) error {
-	hd.SetContentLength(len(body))
+	switch {
+	case !an.headOnly || len(body) > 0:
+		hd.SetContentLength(len(body))
+	case hd.ContentLength() <= 0: // The length of the body that a GET would get is not known.
+		hd.SetContentLength(an.unknownLength())
+	}
 	if err := an.begin(hd); err != nil {
 		return err
 	}
@@ -52,16 +58,21 @@
 
 // Start sends the header of a response whose body is streamed with Part.
 func (an *Answer) Start(hd *fasthttp.ResponseHeader) error {
-	hd.SetContentLength(-1)
-	if an.unchunked {
-		hd.SetContentLength(-2)
-	}
+	hd.SetContentLength(an.unknownLength())
 	if err := an.begin(hd); err != nil {
 		return err
 	}
 	return an.flush()
 }
 
+// unknownLength returns fasthttp's content length of a chunked body, or of one that ends with its connection.
+func (an *Answer) unknownLength() int {
+	if an.unchunked {
+		return -2
+	}
+	return -1
+}
+
 // Part sends the next part of a streamed body without buffering.
 func (an *Answer) Part(part []byte) error {
 	if len(part) == 0 || an.headOnly {
