Interim responses and trailers are bounded, and a trailer belongs to a whole answer

What callers saw: an answer in chunks with trailer fields, which is sound, was taken for one that broke off (502, or the request ran again). A server that sends interim responses without end held a request until its deadline, one that sends a trailer's field without an end held memory as well: 64 such answers allocated 112 MB and more. Cause: the reader expected an empty line right after the last chunk and read it without a bound; interim heads were not counted. Evidence: TestBytesWithoutEndAreBounded and TestTrailerBelongsToWholeAnswer, four of four cases red before. What other callers of a node see meanwhile (p99) is not measured.

--- a/internal/edge/call/body.go
+++ b/internal/edge/call/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net/http/httputil"
 
@@ -88,15 +89,24 @@
 	return num, err
 }
 
-// readTrailer reads the empty line after the last chunk, which httputil's chunked reader
-// leaves unread, so that the connection can be reused.
+// maxTrailer bounds the trailer of an answer, in bytes.
+const maxTrailer = 8 << 10
+
+// readTrailer reads up to the empty line after the last chunk, which httputil's chunked reader
+// leaves unread, so that the connection can be reused. The fields before it are discarded.
 func (bo *Body) readTrailer() error {
-	line, err := bo.rd.ReadString('\n')
-	if err != nil || (line != "\r\n" && line != "\n") {
-		return io.ErrUnexpectedEOF
+	for left := maxTrailer; left > 0; {
+		line, err := bo.rd.ReadSlice('\n')
+		if err != nil {
+			return io.ErrUnexpectedEOF
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			bo.atEnd = true
+			return io.EOF
+		}
+		left -= len(line)
 	}
-	bo.atEnd = true
-	return io.EOF
+	return errors.Errorf("a trailer of more than %d bytes", maxTrailer)
 }
 
 func (bo *Body) ended() bool { return bo != nil && bo.atEnd && bo.mode != modeUntilClose }
--- a/internal/edge/call/body_test.go
+++ b/internal/edge/call/body_test.go
@@ -6,10 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
 	"lycheepick/internal/edge/call"
@@ -87,3 +90,67 @@
 		})
 	}
 }
+
+// endless starts a server that answers with a text and then repeats another one until the caller closes.
+func endless(tb testing.TB, begin, repeat string) (addr string) {
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { _ = ls.Close() })
+	go func() {
+		for cn, err := ls.Accept(); err == nil; cn, err = ls.Accept() {
+			go func() {
+				defer func() { _ = cn.Close() }()
+				var req fasthttp.Request
+				_ = req.Read(bufio.NewReader(cn))
+				_, err := io.WriteString(cn, begin)
+				for err == nil {
+					_, err = io.WriteString(cn, repeat)
+				}
+			}()
+		}
+	}()
+	return ls.Addr().String()
+}
+
+// TestBytesWithoutEndAreBounded guards against servers that send interim responses or a trailer without end: 64 calls
+// at once fail long before their deadline, with 64 MiB allocated at most.
+func TestBytesWithoutEndAreBounded(t *testing.T) {
+	const calls, memory, chunked = 64, 64 << 20, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n"
+	for _, tt := range []struct{ name, begin, repeat string }{
+		{"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{"a trailer's field", chunked + "X-Sum: ", strings.Repeat("x", 4096)},
+		{"trailer fields", chunked, "X-Sum: " + strings.Repeat("x", 1000) + "\r\n"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			g, addr := NewWithT(t), endless(t, tt.begin, tt.repeat)
+			ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+			defer cancel()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			var wg conc.WaitGroup
+			errs := make([]error, calls)
+			for num := range calls {
+				wg.Go(func() { _, errs[num] = ask(ctx, call.NewCaller(), addr, http.MethodGet) })
+			}
+			wg.Wait()
+			runtime.ReadMemStats(&after)
+			g.Expect(errs).To(HaveEach(HaveOccurred()))
+			g.Expect(ctx.Err()).NotTo(HaveOccurred(), "the calls end before their deadline")
+			g.Expect(after.TotalAlloc-before.TotalAlloc).To(BeNumerically("<", memory), "bytes allocated")
+		})
+	}
+}
+
+// TestTrailerBelongsToWholeAnswer guards against an answer with a trailer that is taken for one that broke off.
+func TestTrailerBelongsToWholeAnswer(t *testing.T) {
+	g, ca := NewWithT(t), call.NewCaller()
+	addr, conns := answering(t, "HTTP/1.1 200 OK\r\nTrailer: X-Sum\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX-Sum: 7\r\nX-More: 1\r\n\r\n")
+	for range 2 {
+		have, err := ask(t.Context(), ca, addr, http.MethodGet)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(have).To(Equal("hi"))
+	}
+	g.Expect(conns()).To(Equal(1))
+}
--- a/internal/edge/call/call.go
+++ b/internal/edge/call/call.go
@@ -202,9 +202,12 @@
 	return nil
 }
 
-// readHead reads the response header and skips interim (1xx) responses.
+// maxInterim bounds the interim (1xx) responses before an answer.
+const maxInterim = 32
+
+// readHead reads the response header and skips interim responses.
 func (an *Answer) readHead() error {
-	for {
+	for range maxInterim {
 		an.Header.Reset()
 		if err := an.Header.Read(an.cn.rd); err != nil {
 			return err
@@ -213,6 +216,7 @@
 			return nil
 		}
 	}
+	return errors.Errorf("more than %d interim responses", maxInterim)
 }
 
 // readEarlyHead reads the header of an answer that the server gave before it closed the connection, on
