An offer on a connection that has just ended is made again

What callers saw: at a node that is cut from all servers, one request in some 12,500 got 503 'no other node takes requests' though its peer was well. Cause: connections to peers are kept for later requests. One that ends between the check of the pool and the first frame of an offer fails the offer at once; the peer then counted as silent for 3 s, and with no other peer the request was refused. Why it is safe: the peer sends nothing to a server before the commit, which such an offer has not sent. A frozen peer is not asked again: the second offer is made only within 50 ms of the first.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -47,6 +47,9 @@
 	// or that is malformed.
 	KindDeclined Kind = "declined"
 	KindForward  Kind = "forward"
+	// KindOfferCut marks a request whose offer to a peer ended with its connection, so that the peer has not
+	// taken it.
+	KindOfferCut Kind = "offer_cut"
 	// KindIssuer marks a node that gave no permits, since it can't be reached or takes another
 	// node for their issuer.
 	KindIssuer Kind = "issuer"
--- a/internal/node/entry/forward.go
+++ b/internal/node/entry/forward.go
@@ -26,6 +26,9 @@
 	maxForwardTries = 8
 	// acceptTimeout bounds the time in which a peer takes a request or declines it.
 	acceptTimeout = 250 * time.Millisecond
+	// cutOfferTime is the time within which an offer fails that met a connection which had ended. It is made
+	// again, to the same peer.
+	cutOfferTime = 50 * time.Millisecond
 	// maxForwarded bounds the requests of peers in progress, and maxForwardedBytes their bodies,
 	// so that this node's own callers are served as before.
 	maxForwarded      = 256
@@ -96,7 +99,7 @@
 
 func relayError(op string, ki relay.Kind, err error) error { return fault.Wrap(op, ki, err) }
 
-// forwardTo sends a request through one peer. The error is of KindDeclined if the peer has not
+// forwardTo sends a request through one peer. The error is of KindDeclined or KindOfferCut if the peer has not
 // taken it, and of KindForward if it may have run.
 func (fo *forwards) forwardTo(callerCtx context.Context, to pulse.Peer, fw *relay.Forward) (*relay.Reply, error) {
 	ctx, cancel := context.WithCancel(callerCtx)
@@ -106,6 +109,9 @@
 		fo.ended(to.Node)
 	})
 	fs, declined, err := fo.offer(ctx, cancel, to, fw)
+	if fault.Is(err, KindOfferCut) { // A kept connection may have ended since its latest request.
+		fs, declined, err = fo.offer(ctx, cancel, to, fw)
+	}
 	if callerCtx.Err() == nil { // Otherwise it was not the peer that ended it.
 		fo.noteOffer(to.Node, fw.Service, fw.Config, declined, err)
 	}
@@ -155,12 +161,17 @@
 }
 
 // offer offers a request to a peer and commits it once the peer has taken it. refusal is set if
-// the peer declined.
+// the peer declined. An offer whose connection ends within cutOfferTime fails with KindOfferCut.
 func (fo *forwards) offer(ctx context.Context, abort context.CancelFunc, to pulse.Peer, fw *relay.Forward) (fs *pulse.FrameStream, refusal *pulse.Refusal, err error) {
 	const op = "entry.offer"
-	tm := time.AfterFunc(acceptTimeout, abort)
+	tm, began := time.AfterFunc(acceptTimeout, abort), time.Now()
 	defer tm.Stop()
-	declined := func(err error) error { return fault.Wrap(op, KindDeclined, err) }
+	declined := func(err error) error {
+		if time.Since(began) < cutOfferTime {
+			return fault.Wrap(op, KindOfferCut, err)
+		}
+		return fault.Wrap(op, KindDeclined, err)
+	}
 	fs, err = fo.no.peerClient.Forward(ctx, to.Address)
 	if err != nil {
 		return nil, nil, declined(err)
--- a/internal/node/entry/forward_test.go
+++ b/internal/node/entry/forward_test.go
@@ -5,9 +5,13 @@
 	"errors"
 	"io"
 	"net"
+	"os"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
@@ -73,12 +77,7 @@
 			acceptOffer(fs)
 			sendHead(fs)
 		}, "", 0, io.ErrUnexpectedEOF, time.Second},
-		{"answers", func(_ context.Context, fs *pulse.FrameStream) {
-			acceptOffer(fs)
-			sendHead(fs)
-			_ = fs.SendBody([]byte("56789"))
-			_ = fs.Send(pulse.FrameEnd, nil)
-		}, "", 0, nil, time.Second},
+		{"answers", answerOffer, "", 0, nil, time.Second},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			no := newForwardTest(t, tt.handle)
@@ -111,6 +110,73 @@
 	}
 }
 
+// answerOffer takes an offer and answers it.
+func answerOffer(_ context.Context, fs *pulse.FrameStream) {
+	acceptOffer(fs)
+	sendHead(fs)
+	_ = fs.SendBody([]byte("56789"))
+	_ = fs.Send(pulse.FrameEnd, nil)
+}
+
+// TestOfferOnEndedConnection guards against a request that no node takes since the connection kept to the only
+// peer had just ended.
+func TestOfferOnEndedConnection(t *testing.T) {
+	var offers atomic.Int64
+	no := newForwardTest(t, func(ctx context.Context, fs *pulse.FrameStream) {
+		if offers.Add(1)%2 == 0 {
+			answerOffer(ctx, fs)
+		}
+	})
+	for range 20 {
+		rp, err := no.forwards.Forward(t.Context(), &relay.Forward{ID: "r", Service: "app", Deadline: time.Now().Add(5 * time.Second)})
+		if err != nil {
+			t.Fatalf("have error %v after %d offers, want an answer", err, offers.Load())
+		}
+		if body, err := io.ReadAll(rp.Body); err != nil || string(body) != "0123456789" {
+			t.Errorf("have %q and error %v", body, err)
+		}
+		rp.Close()
+	}
+}
+
+// TestRequestsOnKeptConnections guards against requests that no node takes, among many on connections that are kept
+// between nodes. FORWARDS sets how many are sent.
+func TestRequestsOnKeptConnections(t *testing.T) {
+	const senders = 3
+	count := 6000
+	if text := os.Getenv("FORWARDS"); text != "" {
+		num, err := strconv.Atoi(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		count = num
+	}
+	no := newForwardTest(t, answerOffer)
+	var failed atomic.Int64
+	var wg conc.WaitGroup
+	for range senders {
+		wg.Go(func() {
+			for range count / senders {
+				rp, err := no.forwards.Forward(t.Context(), &relay.Forward{ID: "r", Service: "app", Deadline: time.Now().Add(5 * time.Second)})
+				if err != nil {
+					t.Logf("have error %v", err)
+					failed.Add(1)
+					continue
+				}
+				if body, err := io.ReadAll(rp.Body); err != nil || string(body) != "0123456789" {
+					t.Logf("have %q and error %v", body, err)
+					failed.Add(1)
+				}
+				rp.Close()
+			}
+		})
+	}
+	wg.Wait()
+	if num := failed.Load(); num > 0 {
+		t.Errorf("have %d of %d requests without an answer, want none", num, count)
+	}
+}
+
 // newForwardTest returns a node that knows one peer.
 func newForwardTest(t *testing.T, handle func(ctx context.Context, fs *pulse.FrameStream)) *Node {
 	t.Helper()
