Open servers and versions are kept per list, not gathered for each report

Each report (53 a second and node) looked at the version of each server, each check of the paths (20 a second) copied the ids of all open ones. Both grow with the servers and change with their list alone. The versions of an unchanged list count as seen at each report, as before (TestUnchangedListKeepsItsVersion); TestListsFollowServers has the lists.

--- a/internal/edge/relay/origins.go
+++ b/internal/edge/relay/origins.go
@@ -155,8 +155,8 @@
 // seeVersions records the software versions of the servers in the list. The caller holds rl.mu.
 func (rl *Relay) seeVersions(now time.Time) {
 	for id, se := range rl.fleets {
-		for _, sv := range se.fleet.List() {
-			rl.versions.See(now, id, sv.Version)
+		for _, version := range se.fleet.Versions() {
+			rl.versions.See(now, id, version)
 		}
 	}
 }
--- a/internal/rule/place/fleet.go
+++ b/internal/rule/place/fleet.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"lycheepick/internal/rule/retry"
@@ -14,6 +15,7 @@
 func (fl *Fleet) SetServers(now time.Time, list []server.Server) {
 	next := make(map[units.VMID]*serverState, len(list))
 	fl.servers = fl.servers[:0]
+	fl.open, fl.versions = make([]units.VMID, 0, len(list)), nil // Not in place, since callers keep what Open returns.
 	for _, sv := range list {
 		st := fl.byID[sv.ID]
 		if st == nil || st.StartUnixMS != sv.StartUnixMS {
@@ -22,6 +24,12 @@
 		st.Server = sv
 		next[sv.ID] = st
 		fl.servers = append(fl.servers, st)
+		if !sv.Draining {
+			fl.open = append(fl.open, sv.ID)
+		}
+		if !slices.Contains(fl.versions, sv.Version) {
+			fl.versions = append(fl.versions, sv.Version)
+		}
 	}
 	fl.byID = next
 }
@@ -50,9 +58,9 @@
 
 // OwnLoads adds to out this node's own load at each server that has any.
 func (fl *Fleet) OwnLoads(out map[units.VMID]Load) {
-	for id, st := range fl.byID {
+	for _, st := range fl.servers {
 		if st.ownLoad != (Load{}) {
-			out[id] = st.ownLoad
+			out[st.ID] = st.ownLoad
 		}
 	}
 }
@@ -221,16 +229,11 @@
 	}
 }
 
-// Open returns the servers that don't drain.
-func (fl *Fleet) Open() []units.VMID {
-	out := make([]units.VMID, 0, len(fl.servers))
-	for _, st := range fl.servers {
-		if !st.Draining {
-			out = append(out, st.ID)
-		}
-	}
-	return out
-}
+// Open returns the servers that don't drain. Callers must not change the slice.
+func (fl *Fleet) Open() []units.VMID { return fl.open }
+
+// Versions returns the software versions of all servers. Callers must not change the slice.
+func (fl *Fleet) Versions() []units.SoftwareVersion { return fl.versions }
 
 // Server returns a server, nil if it is not in the list.
 func (fl *Fleet) Server(id units.VMID) *server.Server {
--- a/internal/rule/place/place.go
+++ b/internal/rule/place/place.go
@@ -155,7 +155,10 @@
 	prefillRate units.TokensPerSecond
 	servers     []*serverState
 	byID        map[units.VMID]*serverState
-	lastTicket  Ticket
+	// open and versions are the servers that don't drain, and the software versions of all.
+	open       []units.VMID
+	versions   []units.SoftwareVersion
+	lastTicket Ticket
 	// answered is set once any server has begun an answer.
 	answered bool
 	// peerCount is the number of peers that report.
--- a/internal/rule/place/place_test.go
+++ b/internal/rule/place/place_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -259,3 +260,37 @@
 		})
 	}
 }
+
+// TestListsFollowServers checks that the servers that don't drain, and the software versions, are those of the latest
+// list, and that what a caller has got of an earlier one stays.
+func TestListsFollowServers(t *testing.T) {
+	fl, list := place.NewFleet(), servers(4)
+	for num := range list {
+		list[num].Version = "v1"
+	}
+	fl.SetServers(start, list)
+	before := fl.Open()
+	for _, tt := range []struct {
+		name     string
+		change   func()
+		open     []units.VMID
+		versions []units.SoftwareVersion
+	}{
+		{"one drains", func() { list[1].Draining = true }, []units.VMID{"s-0", "s-2", "s-3"}, []units.SoftwareVersion{"v1"}},
+		{"one is replaced", func() { list[2].Version = "v2" }, []units.VMID{"s-0", "s-2", "s-3"}, []units.SoftwareVersion{"v1", "v2"}},
+		{"the others leave", func() { list = list[2:3] }, []units.VMID{"s-2"}, []units.SoftwareVersion{"v2"}},
+		{"none is left", func() { list = nil }, []units.VMID{}, nil},
+	} {
+		tt.change()
+		fl.SetServers(start, list)
+		if have := fl.Open(); !slices.Equal(have, tt.open) {
+			t.Errorf("%s: have %v open, want %v", tt.name, have, tt.open)
+		}
+		if have := fl.Versions(); !slices.Equal(have, tt.versions) {
+			t.Errorf("%s: have versions %v, want %v", tt.name, have, tt.versions)
+		}
+	}
+	if want := []units.VMID{"s-0", "s-1", "s-2", "s-3"}; !slices.Equal(before, want) {
+		t.Errorf("the earlier list is %v, want %v", before, want)
+	}
+}
