Requests are spread over servers that are as good as each other

What callers saw: in a large fleet requests waited at some servers while others idled. Of servers with the same score the first of the list was chosen, so that all nodes which know the same, or whose news of each other is older than a request takes, chose the same one: 64 of 64 requests of 64 nodes at one of 90 idle servers (TestNodesThatKnowTheSame, six at most since). It grows with nodes: at 7 nodes reports are 0.08 s old, at 85 0.8 s. Change: a penalty of up to 1 ms, by a hash of the request and the server, about what one running request adds.

--- a/internal/rule/place/place.go
+++ b/internal/rule/place/place.go
@@ -50,6 +50,8 @@
 	Try  bool
 	// Version is the software version that the server must have, nil for any.
 	Version *units.SoftwareVersion
+	// Key differs from request to request. It decides between servers that are as good as each other.
+	Key uint64
 }
 
 // Load is the work that one node has at a server.
@@ -98,6 +100,9 @@
 	// first, notPreferredPenalty that for all other servers.
 	preferenceStepPenalty = 40 * time.Millisecond
 	notPreferredPenalty   = 80 * time.Millisecond
+	// maxSpreadPenalty is about what one running request adds at a server, which reports of other nodes
+	// may lag behind.
+	maxSpreadPenalty = time.Millisecond
 	// errorPenalty is the penalty for a server all of whose responses are errors.
 	errorPenalty = 2 * time.Second
 	// errorWeight is the weight of one response in the smoothed error rate.
@@ -218,7 +223,7 @@
 		if st.Zone != rq.Zone {
 			score += otherZonePenalty
 		}
-		score += preferred.penalty(st)
+		score += preferred.penalty(st) + rq.spreadPenalty(st.ID)
 		ca := candidate{server: st, silent: !usable, state: state, refusedAt: refusedAt, score: score}
 		if ca.before(&first) {
 			first = ca
@@ -359,6 +364,12 @@
 	return notPreferredPenalty
 }
 
+// spreadPenalty returns a small penalty for a server that differs from request to request. Without it nodes that know the
+// same would all choose the first of the servers that look idle.
+func (rq *Request) spreadPenalty(id units.VMID) time.Duration {
+	return time.Duration(rendezvous(BlockID(uint32(rq.Key)), id) % uint64(maxSpreadPenalty))
+}
+
 func rendezvous(key BlockID, id units.VMID) uint64 {
 	var buf [4]byte
 	binary.LittleEndian.PutUint32(buf[:], uint32(key))
--- a/internal/rule/place/place_test.go
+++ b/internal/rule/place/place_test.go
@@ -294,3 +294,34 @@
 		t.Errorf("the earlier list is %v, want %v", before, want)
 	}
 }
+
+// TestNodesThatKnowTheSame guards against many nodes that choose the same server at once, since it is the first of those
+// that all of them take for idle.
+func TestNodesThatKnowTheSame(t *testing.T) {
+	const nodes, most = 64, 6
+	for _, tt := range []struct {
+		name    string
+		servers int
+		blocks  func(num int) []place.Block
+	}{
+		{"plain requests", 90, func(int) []place.Block { return nil }},
+		{"prompts that share nothing", 90, func(num int) []place.Block {
+			return []place.Block{{ID: place.BlockID(num), Tokens: 2000}}
+		}},
+	} {
+		chosen, busiest := map[units.VMID]int{}, 0
+		for num := range nodes {
+			fl := place.NewFleet()
+			fl.SetServers(start, servers(tt.servers))
+			ch, ok := fl.Choose(start, &place.Request{Zone: "a", Prompt: 2000, Blocks: tt.blocks(num), Key: uint64(num)})
+			if !ok {
+				t.Fatalf("%s: no server was chosen", tt.name)
+			}
+			chosen[ch.Server.ID]++
+			busiest = max(busiest, chosen[ch.Server.ID])
+		}
+		if busiest > most {
+			t.Errorf("%s: have %d requests of %d at one of %d servers, want %d at most", tt.name, busiest, nodes, tt.servers, most)
+		}
+	}
+}
