--- a/internal/rule/place/place_test.go
+++ b/internal/rule/place/place_test.go
@@ -325,3 +325,33 @@
 		}
 	}
 }
+
+// TestQueueOfManyNodes guards against a queue that no node sees: many nodes have a little work each at a server, which
+// together takes it seconds, and each report is older than the time that the node's own part would take alone.
+func TestQueueOfManyNodes(t *testing.T) {
+	const age, queue = 800 * time.Millisecond, 240_000 // Tokens, 3 s at the initial rate.
+	for _, nodes := range []int{1, 7, 84, 194, 359} {
+		fl := place.NewFleet()
+		fl.SetServers(start, servers(1))
+		for num := range nodes {
+			fl.SetPeerLoads(start, nodes, units.VMID(fmt.Sprint("n-", num)), map[units.VMID]place.Load{"s-0": {Running: 1, PendingPrefill: queue / units.Tokens(nodes)}})
+		}
+		for _, tt := range []struct {
+			after    time.Duration
+			min, max time.Duration
+		}{
+			{0, 2900 * time.Millisecond, 3200 * time.Millisecond},
+			{age, 2100 * time.Millisecond, 2400 * time.Millisecond},
+		} {
+			ch, ok := fl.Choose(start.Add(tt.after), &place.Request{Zone: "a"})
+			wait := ch.FirstToken
+			if slots := 48; nodes >= slots { // Those that wait for a slot.
+				wait -= time.Duration(nodes+1-slots) * 40 * time.Millisecond
+			}
+			wait -= time.Duration(nodes) * 40 * time.Millisecond / 48
+			if !ok || wait < tt.min || wait > tt.max {
+				t.Errorf("%d nodes, reports of %s ago: have a wait of %s, want %s to %s", nodes, tt.after, wait, tt.min, tt.max)
+			}
+		}
+	}
+}
