--- a/internal/rule/place/fleet.go
+++ b/internal/rule/place/fleet.go
@@ -94,25 +94,20 @@
 	}
 }
 
-// totalLoad adds up the load of all nodes at a server. A peer's pending prefill is reduced by its share of
-// what the server has computed since the report: the server computes the prompts of all nodes in turn.
+// totalLoad adds up the load of all nodes at a server. A peer's pending prefill is reduced by
+// what the server has computed since the report.
 func (fl *Fleet) totalLoad(now time.Time, st *serverState) Load {
 	out := st.ownLoad
 	limit := watch.SilenceTimeout(peerReportTTL, fl.peerCount)
-	pending := st.ownLoad.PendingPrefill
 	for node, pl := range st.peers {
-		if now.Sub(pl.at) > limit {
+		age := now.Sub(pl.at)
+		if age > limit {
 			delete(st.peers, node)
 			continue
 		}
 		out.Running += pl.Running
-		pending += pl.PendingPrefill
-	}
-	for _, pl := range st.peers {
-		computed := now.Sub(pl.at).Seconds() * float64(fl.prefillRate)
-		if pl.PendingPrefill > 0 && computed < float64(pending) {
-			out.PendingPrefill += units.Tokens(float64(pl.PendingPrefill) * (1 - computed/float64(pending)))
-		}
+		computed := units.Tokens(age.Seconds() * float64(fl.prefillRate))
+		out.PendingPrefill += max(0, pl.PendingPrefill-computed)
 	}
 	return out
 }
