Requests are refused by the queue that all nodes make, also while slots are free

Free slots counted as spare capacity, by which nothing is refused: a server with 64 slots and three seconds of long prompts before it has most of them free. And a node saw next to nothing of a queue in which each node has a little (12 ms of 3 s, TestQueueOfManyNodes): what the server has computed since a report was subtracted from each node's part. Change: spare capacity needs prompts of less than 0.1 s waiting at a server on average, and the predicted time of the chosen server, by which a request is refused, has the whole queue: each part less its share of what was computed.

--- a/internal/rule/admit/patience.go
+++ b/internal/rule/admit/patience.go
@@ -10,7 +10,7 @@
 	Waited, Remaining time.Duration
 	// Target is the time from arrival within which the first token is worth most.
 	Target time.Duration
-	// SpareCapacity is set if under half of the slots of all servers are in use.
+	// SpareCapacity is set if under half of the slots of all servers are in use and few prompts wait.
 	SpareCapacity bool
 }
 
--- a/internal/rule/place/fleet.go
+++ b/internal/rule/place/fleet.go
@@ -94,8 +94,9 @@
 	}
 }
 
-// totalLoad adds up the load of all nodes at a server. A peer's pending prefill is reduced by
-// what the server has computed since the report.
+// totalLoad adds up the load of all nodes at a server, for the choice between servers. A peer's pending prefill is
+// reduced by all that the server could have computed since the report, so that the reports of a large fleet, which are
+// older, don't drive prompts away from the servers that have their shared parts. See queued for what really waits.
 func (fl *Fleet) totalLoad(now time.Time, st *serverState) Load {
 	out := st.ownLoad
 	limit := watch.SilenceTimeout(peerReportTTL, fl.peerCount)
@@ -112,6 +113,23 @@
 	return out
 }
 
+// queued returns the prompt tokens of all nodes that wait at a server. A peer's part is reduced by its share of what the
+// server has computed since the report.
+func (fl *Fleet) queued(now time.Time, st *serverState) units.Tokens {
+	total := st.ownLoad.PendingPrefill
+	for _, pl := range st.peers {
+		total += pl.PendingPrefill
+	}
+	out := st.ownLoad.PendingPrefill
+	for _, pl := range st.peers {
+		computed := now.Sub(pl.at).Seconds() * float64(fl.prefillRate)
+		if pl.PendingPrefill > 0 && computed < float64(total) {
+			out += units.Tokens(float64(pl.PendingPrefill) * (1 - computed/float64(total)))
+		}
+	}
+	return out
+}
+
 // Dispatch records that a request is sent to the chosen server.
 func (fl *Fleet) Dispatch(now time.Time, rq *Request, ch *Choice) Ticket {
 	fl.lastTicket++
--- a/internal/rule/place/place.go
+++ b/internal/rule/place/place.go
@@ -71,7 +71,7 @@
 	Uncached units.Tokens
 	// Usual is the time that the server usually takes to the first byte, besides that for the prompt.
 	Usual time.Duration
-	// SpareCapacity is set if under half of the slots of all servers are in use.
+	// SpareCapacity is set if under half of the slots of all servers are in use and few prompts wait.
 	SpareCapacity bool
 	// Held is the server that would have been chosen with a permit that can be asked for, nil if
 	// there is none.
@@ -103,6 +103,9 @@
 	// maxSpreadPenalty is about what one running request adds at a server, which reports of other nodes
 	// may lag behind.
 	maxSpreadPenalty = time.Millisecond
+	// maxSpareQueue is the time that servers need on average for the prompts that wait, from which on there is
+	// no spare capacity: long prompts wait for each other while most slots are free.
+	maxSpareQueue = 100 * time.Millisecond
 	// errorPenalty is the penalty for a server all of whose responses are errors.
 	errorPenalty = 2 * time.Second
 	// errorWeight is the weight of one response in the smoothed error rate.
@@ -193,7 +196,7 @@
 	preferred := fl.preferred(now, rq)
 	// best is the best server that takes the request now, first the best one of all.
 	var best, first candidate
-	inUse, slots := 0, 0
+	var spare capacity
 	for _, st := range fl.servers {
 		usable := fl.usable(now, st)
 		if !usable && !fl.mayBeSlow(now, st) {
@@ -210,10 +213,9 @@
 		if state == rest.Resting {
 			continue
 		}
-		lo := fl.totalLoad(now, st)
+		lo, queued := fl.totalLoad(now, st), fl.queued(now, st)
 		if usable && gate == permit.Open && state < rest.Doubted {
-			inUse += lo.Running
-			slots += max(st.Slots, 1)
+			spare.add(st.Slots, lo.Running, queued)
 		}
 		if rq.avoids(st.ID) {
 			continue
@@ -230,6 +232,7 @@
 		}
 		if gate == permit.Open && ca.before(&best) {
 			best = ca
+			latency += fl.prefillTime(max(0, queued-lo.PendingPrefill), 1)
 			ch = Choice{Server: st.Server, FirstToken: latency, Uncached: uncached, Usual: st.usual}
 		}
 	}
@@ -237,10 +240,29 @@
 		sv := first.server.Server
 		ch.Held = &sv
 	}
-	ch.SpareCapacity = inUse*2 < slots
+	ch.SpareCapacity = spare.isLeft() && fl.prefillTime(spare.meanQueue(), 1) < maxSpareQueue
 	return ch, best.server != nil
 }
 
+// capacity adds up what is in use of the servers that take requests.
+type capacity struct {
+	servers, slots, inUse int
+	queued                units.Tokens
+}
+
+func (ca *capacity) add(slots, inUse int, queued units.Tokens) {
+	ca.servers++
+	ca.slots += max(slots, 1)
+	ca.inUse += inUse
+	ca.queued += queued
+}
+
+// isLeft reports whether under half of the slots are in use.
+func (ca *capacity) isLeft() bool { return ca.inUse*2 < ca.slots }
+
+// meanQueue returns the prompt tokens that wait at a server on average.
+func (ca *capacity) meanQueue() units.Tokens { return ca.queued / units.Tokens(max(ca.servers, 1)) }
+
 // candidate is a server with its score, of which the lowest is best.
 type candidate struct {
 	server *serverState
--- a/internal/rule/place/place_test.go
+++ b/internal/rule/place/place_test.go
@@ -355,3 +355,34 @@
 		}
 	}
 }
+
+// TestSpareCapacity checks that free slots are no spare capacity while prompts wait, whoever sent them: requests are
+// accepted then although they can't be served, and end at their deadline.
+func TestSpareCapacity(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		running int
+		pending units.Tokens
+		nodes   int
+		want    bool
+	}{
+		{"idle", 0, 0, 7, true},
+		{"a prompt here and there", 1, 500, 7, true},
+		{"a second of prompts from a few nodes", 2, 80_000 / 7, 7, false},
+		{"a second of prompts from many nodes", 1, 80_000 / 20, 20, false},
+		{"most slots in use", 4, 0, 7, false},
+	} {
+		fl := place.NewFleet()
+		fl.SetServers(start, servers(10))
+		for num := range tt.nodes {
+			loads := map[units.VMID]place.Load{}
+			for _, sv := range servers(10) {
+				loads[sv.ID] = place.Load{Running: tt.running, PendingPrefill: tt.pending}
+			}
+			fl.SetPeerLoads(start, tt.nodes, units.VMID(fmt.Sprint("n-", num)), loads)
+		}
+		if ch, _ := fl.Choose(start.Add(100*time.Millisecond), &place.Request{Zone: "a", Prompt: 100}); ch.SpareCapacity != tt.want {
+			t.Errorf("%s: have spare capacity %t, want %t", tt.name, ch.SpareCapacity, tt.want)
+		}
+	}
+}
