--- a/internal/bench/crowd/crash.go
+++ b/internal/bench/crowd/crash.go
@@ -182,7 +182,7 @@
 	} else {
 		blocks = append(blocks[:2:2], part, blocks[2])
 	}
-	rq := &request{ru: ru, at: ru.now, customer: customerID(ru.rnd.IntN(guiltyCustomers)), guilty: gu, counted: true, ask: place.Request{Zone: "a", Blocks: blocks, Key: uint64(ru.lastUnique)}}
+	rq := &request{ru: ru, at: ru.now, customer: customerID(ru.rnd.IntN(guiltyCustomers)), guilty: gu, counted: true, ask: place.Request{Zone: "a", Blocks: blocks}}
 	for _, bl := range blocks {
 		rq.ask.Prompt += bl.Tokens
 	}
--- a/internal/bench/crowd/crowd.go
+++ b/internal/bench/crowd/crowd.go
@@ -342,7 +342,7 @@
 	}
 	ru.lastUnique++
 	rq := &request{ru: ru, at: ru.now, customer: customerID(customer), ask: place.Request{
-		Zone: "a", Prompt: preambleTokens + topicTokens + uniqueTokens, Key: uint64(ru.lastUnique),
+		Zone: "a", Prompt: preambleTokens + topicTokens + uniqueTokens,
 		Blocks: []place.Block{
 			{ID: place.BlockID(topic % preambles), Tokens: preambleTokens},
 			{ID: place.BlockID(preambles + topic), Tokens: topicTokens},
--- a/internal/bench/crowd/rest.go
+++ b/internal/bench/crowd/rest.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/place"
 	"lycheepick/internal/rule/rest"
@@ -181,6 +183,7 @@
 		rq.ask.Rest = func(sv *server.Server) (rest.State, time.Time) { return no.rests.State(no.ru.now, noticeServer(sv)) }
 	}
 	rq.ask.Try = try || no.budget.HasReserve() && len(rq.ask.Avoid) == 0
+	rq.ask.Key = xxhash.Sum64String(string(no.id))
 	return no.fleet.Choose(no.ru.now, &rq.ask)
 }
 
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -216,10 +216,12 @@
 // Relay serves requests. Set its fields before first use; it is then safe for concurrent
 // use.
 type Relay struct {
-	Log    *zap.Logger
-	Meter  Meter
-	Zone   units.ZoneID
-	Counts Counts
+	Log   *zap.Logger
+	Meter Meter
+	Zone  units.ZoneID
+	// SpreadKey is this node's place.Request.Key.
+	SpreadKey uint64
+	Counts    Counts
 	// ObserveFirstByte is called with the time from arrival to the first byte of each
 	// response.
 	ObserveFirstByte func(time.Duration)
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
@@ -138,7 +137,7 @@
 	ru := &run{
 		rl: rl, rq: rq, ex: ex, sink: sink, lastEvent: rq.LastEvent, parts: sharedParts(rq.PrefixBlocks),
 		machine: answer.New(rq.Route.RetryPolicy != routes.AtMostOnce, maxSends),
-		ask:     place.Request{Blocks: rq.PrefixBlocks, Prompt: rq.PromptTokens, Zone: rl.Zone, Key: xxhash.Sum64String(string(rq.ID))},
+		ask:     place.Request{Blocks: rq.PrefixBlocks, Prompt: rq.PromptTokens, Zone: rl.Zone, Key: rl.SpreadKey},
 	}
 	ru.keys = crash.Keys(rq.Content, ru.parts)
 	return ru
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
@@ -164,6 +165,7 @@
 	no.relay = relay.New(log, set.VM.Zone, no, pool.Tolerance{
 		Window: set.Limits.Window(), Share: set.Limits.QuotaShare, Fixed: set.Limits.QuotaFixed,
 	})
+	no.relay.SpreadKey = xxhash.Sum64String(string(set.VM.ID))
 	no.origins = newOrigins(no)
 	no.relay.AskPermits, no.relay.Origins, no.relay.OwnsTrials = no.askPermits, no.origins, no.ownsTrials
 	no.relay.ObserveFirstByte = func(du time.Duration) { no.firstByte.Update(du.Microseconds()) }
--- a/internal/rule/place/place.go
+++ b/internal/rule/place/place.go
@@ -50,7 +50,8 @@
 	Try  bool
 	// Version is the software version that the server must have, nil for any.
 	Version *units.SoftwareVersion
-	// Key differs from request to request. It decides between servers that are as good as each other.
+	// Key differs from node to node. It decides between servers that are as good as each other; with 0 the first of
+	// the list is chosen.
 	Key uint64
 }
 
@@ -386,9 +387,13 @@
 	return notPreferredPenalty
 }
 
-// spreadPenalty returns a small penalty for a server that differs from request to request. Without it nodes that know the
-// same would all choose the first of the servers that look idle.
+// spreadPenalty returns a small penalty for a server that differs from node to node. Without it nodes that know the same
+// would all choose the first of the servers that look idle. A node keeps to its own order, so that the prompts which it
+// gets find their shared parts again.
 func (rq *Request) spreadPenalty(id units.VMID) time.Duration {
+	if rq.Key == 0 {
+		return 0
+	}
 	return time.Duration(rendezvous(BlockID(uint32(rq.Key)), id) % uint64(maxSpreadPenalty))
 }
 
--- a/internal/rule/place/place_test.go
+++ b/internal/rule/place/place_test.go
@@ -313,7 +313,7 @@
 		for num := range nodes {
 			fl := place.NewFleet()
 			fl.SetServers(start, servers(tt.servers))
-			ch, ok := fl.Choose(start, &place.Request{Zone: "a", Prompt: 2000, Blocks: tt.blocks(num), Key: uint64(num)})
+			ch, ok := fl.Choose(start, &place.Request{Zone: "a", Prompt: 2000, Blocks: tt.blocks(num), Key: uint64(num + 1)})
 			if !ok {
 				t.Fatalf("%s: no server was chosen", tt.name)
 			}
