Revert: what the best server can't do in time goes to the quickest one

So while prompts wait at most servers a request may be refused that another server could have taken, as far as older news tells.

--- a/internal/edge/relay/dispatch.go
+++ b/internal/edge/relay/dispatch.go
@@ -55,13 +55,6 @@
 		pi.Choice, found = se.fleet.Choose(now, ask)
 		sent = found && send(&pi.Choice)
 	}
-	if found && !sent && pi.Held == nil {
-		ask.Quickest = true // Another server may do what the best one can't do in time.
-		if ch, ok := se.fleet.Choose(now, ask); ok && send(&ch) {
-			pi.Choice, sent = ch, true
-		}
-		ask.Quickest = false
-	}
 	if !sent {
 		return pi, found, false
 	}
--- a/internal/rule/place/place.go
+++ b/internal/rule/place/place.go
@@ -50,8 +50,6 @@
 	Try  bool
 	// Version is the software version that the server must have, nil for any.
 	Version *units.SoftwareVersion
-	// Quickest asks for the server with the shortest time to the first token, whatever its cache saves others.
-	Quickest bool
 	// Key differs from node to node. It decides between servers that are as good as each other; with 0 the first of
 	// the list is chosen.
 	Key uint64
@@ -224,21 +222,18 @@
 			continue
 		}
 		latency, uncached := fl.predict(now, st, lo, rq)
-		score := latency + fl.prefillTime(uncached, cacheMissWeight) + preferred.penalty(st)
-		latency += fl.prefillTime(max(0, queued-lo.PendingPrefill), 1)
-		if rq.Quickest {
-			score = latency
-		}
-		score += time.Duration(st.errorRate*float64(errorPenalty)) + rq.spreadPenalty(st.ID)
+		score := latency + fl.prefillTime(uncached, cacheMissWeight) + time.Duration(st.errorRate*float64(errorPenalty))
 		if st.Zone != rq.Zone {
 			score += otherZonePenalty
 		}
+		score += preferred.penalty(st) + rq.spreadPenalty(st.ID)
 		ca := candidate{server: st, silent: !usable, state: state, refusedAt: refusedAt, score: score}
 		if ca.before(&first) {
 			first = ca
 		}
 		if gate == permit.Open && ca.before(&best) {
 			best = ca
+			latency += fl.prefillTime(max(0, queued-lo.PendingPrefill), 1)
 			ch = Choice{Server: st.Server, FirstToken: latency, Uncached: uncached, Usual: st.usual}
 		}
 	}
