Loads of peers are kept in lists, and added up in one pass

What waits at a server was added up in two more passes over a map of its peers, so that a choice took 2 to 4 times as long beside other work (642 us for 351 at 195 nodes). What has been computed since the reports is taken as their mean, weighted with the tokens that each names, where it was bounded for each: the tests hold as they are.

--- a/internal/rule/place/fleet.go
+++ b/internal/rule/place/fleet.go
@@ -19,7 +19,7 @@
 	for _, sv := range list {
 		st := fl.byID[sv.ID]
 		if st == nil || st.StartUnixMS != sv.StartUnixMS {
-			st = &serverState{peers: map[units.VMID]peerLoad{}, blocks: map[BlockID]time.Time{}, awaitingFirst: map[Ticket]dispatch{}, lastResponse: now}
+			st = &serverState{blocks: map[BlockID]time.Time{}, awaitingFirst: map[Ticket]dispatch{}, lastResponse: now}
 		}
 		st.Server = sv
 		next[sv.ID] = st
@@ -41,13 +41,13 @@
 	// Only the servers that either report names are touched: a large fleet has many more.
 	for _, id := range fl.loadedBy[node] {
 		if st := fl.byID[id]; st != nil && loads[id] == (Load{}) {
-			delete(st.peers, node)
+			st.peers = slices.DeleteFunc(st.peers, func(pl peerLoad) bool { return pl.node == node })
 		}
 	}
 	named := fl.loadedBy[node][:0]
 	for id, lo := range loads {
 		if st := fl.byID[id]; st != nil && lo != (Load{}) {
-			st.peers[node] = peerLoad{Load: lo, at: now}
+			st.setPeer(peerLoad{node: node, Load: lo, at: now})
 			named = append(named, id)
 		}
 	}
@@ -56,6 +56,14 @@
 	}
 }
 
+func (st *serverState) setPeer(pl peerLoad) {
+	if idx := slices.IndexFunc(st.peers, func(other peerLoad) bool { return other.node == pl.node }); idx >= 0 {
+		st.peers[idx] = pl
+		return
+	}
+	st.peers = append(st.peers, pl)
+}
+
 // OwnLoads adds to out this node's own load at each server that has any.
 func (fl *Fleet) OwnLoads(out map[units.VMID]Load) {
 	for _, st := range fl.servers {
@@ -94,40 +102,37 @@
 	}
 }
 
-// totalLoad adds up the load of all nodes at a server, for the choice between servers. A peer's pending prefill is
-// reduced by all that the server could have computed since the report, so that the reports of a large fleet, which are
-// older, don't drive prompts away from the servers that have their shared parts. See queued for what really waits.
-func (fl *Fleet) totalLoad(now time.Time, st *serverState) Load {
-	out := st.ownLoad
-	limit := watch.SilenceTimeout(peerReportTTL, fl.peerCount)
-	for node, pl := range st.peers {
+// totalLoad adds up the load of all nodes at a server, for the choice between servers, and the prompt tokens that wait
+// there. For the choice a peer's pending prefill is reduced by all that the server could have computed since the report,
+// so that the reports of a large fleet, which are older, don't drive prompts away from the servers that have their shared
+// parts. Of what waits, all peers' parts are reduced together: the server computes the prompts of all nodes in turn.
+func (fl *Fleet) totalLoad(now time.Time, st *serverState) (lo Load, queued units.Tokens) {
+	lo = st.ownLoad
+	limit, expired := watch.SilenceTimeout(peerReportTTL, fl.peerCount), false
+	var reported units.Tokens
+	var weighted float64 // The tokens computed since each report, weighted with those that it names.
+	for idx := range st.peers {
+		pl := &st.peers[idx]
 		age := now.Sub(pl.at)
 		if age > limit {
-			delete(st.peers, node)
+			expired = true
 			continue
 		}
-		out.Running += pl.Running
-		computed := units.Tokens(age.Seconds() * float64(fl.prefillRate))
-		out.PendingPrefill += max(0, pl.PendingPrefill-computed)
+		lo.Running += pl.Running
+		computed := age.Seconds() * float64(fl.prefillRate)
+		lo.PendingPrefill += max(0, pl.PendingPrefill-units.Tokens(computed))
+		reported += pl.PendingPrefill
+		weighted += computed * float64(pl.PendingPrefill)
 	}
-	return out
-}
-
-// queued returns the prompt tokens of all nodes that wait at a server. A peer's part is reduced by its share of what the
-// server has computed since the report.
-func (fl *Fleet) queued(now time.Time, st *serverState) units.Tokens {
-	total := st.ownLoad.PendingPrefill
-	for _, pl := range st.peers {
-		total += pl.PendingPrefill
+	if expired {
+		st.peers = slices.DeleteFunc(st.peers, func(pl peerLoad) bool { return now.Sub(pl.at) > limit })
 	}
-	out := st.ownLoad.PendingPrefill
-	for _, pl := range st.peers {
-		computed := now.Sub(pl.at).Seconds() * float64(fl.prefillRate)
-		if pl.PendingPrefill > 0 && computed < float64(total) {
-			out += units.Tokens(float64(pl.PendingPrefill) * (1 - computed/float64(total)))
-		}
+	queued = st.ownLoad.PendingPrefill
+	if reported > 0 {
+		computed := weighted / float64(reported)
+		queued += units.Tokens(float64(reported) * max(0, 1-computed/float64(reported+st.ownLoad.PendingPrefill)))
 	}
-	return out
+	return lo, queued
 }
 
 // Dispatch records that a request is sent to the chosen server.
@@ -137,7 +142,8 @@
 	if st == nil {
 		return fl.lastTicket
 	}
-	st.awaitingFirst[fl.lastTicket] = dispatch{at: now, uncached: ch.Uncached, queueEmpty: fl.totalLoad(now, st).PendingPrefill == 0}
+	lo, _ := fl.totalLoad(now, st)
+	st.awaitingFirst[fl.lastTicket] = dispatch{at: now, uncached: ch.Uncached, queueEmpty: lo.PendingPrefill == 0}
 	st.ownLoad.Running++
 	st.ownLoad.PendingPrefill += ch.Uncached
 	for idx, bl := range rq.Blocks {
@@ -292,7 +298,8 @@
 func (fl *Fleet) Servers(now time.Time) []ServerLoad {
 	out := make([]ServerLoad, 0, len(fl.servers))
 	for _, st := range fl.servers {
-		out = append(out, ServerLoad{Server: st.Server, Load: fl.totalLoad(now, st), Usable: fl.usable(now, st)})
+		lo, _ := fl.totalLoad(now, st)
+		out = append(out, ServerLoad{Server: st.Server, Load: lo, Usable: fl.usable(now, st)})
 	}
 	return out
 }
--- a/internal/rule/place/place.go
+++ b/internal/rule/place/place.go
@@ -50,8 +50,8 @@
 	Try  bool
 	// Version is the software version that the server must have, nil for any.
 	Version *units.SoftwareVersion
-	// Key differs from node to node. It decides between servers that are as good as each other; with 0 the first of
-	// the list is chosen.
+	// Key differs from node to node, or from request to request. It decides between servers that are as good as each
+	// other; with 0 the first of the list is chosen.
 	Key uint64
 }
 
@@ -133,7 +133,7 @@
 type serverState struct {
 	server.Server
 	ownLoad       Load
-	peers         map[units.VMID]peerLoad
+	peers         []peerLoad // One a node.
 	blocks        map[BlockID]time.Time
 	health        retry.Health
 	errorRate     float64
@@ -146,6 +146,7 @@
 }
 
 type peerLoad struct {
+	node units.VMID
 	Load
 	at time.Time
 }
@@ -214,7 +215,7 @@
 		if state == rest.Resting {
 			continue
 		}
-		lo, queued := fl.totalLoad(now, st), fl.queued(now, st)
+		lo, queued := fl.totalLoad(now, st)
 		if usable && gate == permit.Open && state < rest.Doubted {
 			spare.add(st.Slots, lo.Running, queued)
 		}
