Requests without a prompt are spread over servers that are as good as each other

Prompts have a reason to stay, their shared parts in a server's cache; others have none and are spread by request.

--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -219,7 +219,7 @@
 	Log   *zap.Logger
 	Meter Meter
 	Zone  units.ZoneID
-	// SpreadKey is this node's place.Request.Key.
+	// SpreadKey is this node's place.Request.Key for prompts, 0 to choose the first of equal servers.
 	SpreadKey uint64
 	Counts    Counts
 	// ObserveFirstByte is called with the time from arrival to the first byte of each
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
@@ -137,12 +138,21 @@
 	ru := &run{
 		rl: rl, rq: rq, ex: ex, sink: sink, lastEvent: rq.LastEvent, parts: sharedParts(rq.PrefixBlocks),
 		machine: answer.New(rq.Route.RetryPolicy != routes.AtMostOnce, maxSends),
-		ask:     place.Request{Blocks: rq.PrefixBlocks, Prompt: rq.PromptTokens, Zone: rl.Zone, Key: rl.SpreadKey},
+		ask:     place.Request{Blocks: rq.PrefixBlocks, Prompt: rq.PromptTokens, Zone: rl.Zone, Key: rl.spreadKey(rq)},
 	}
 	ru.keys = crash.Keys(rq.Content, ru.parts)
 	return ru
 }
 
+// spreadKey returns what decides between servers that are as good as each other: requests without a prompt, which find
+// nothing in a server's cache, are spread over them, others keep to this node's order.
+func (rl *Relay) spreadKey(rq *Request) uint64 {
+	if rl.SpreadKey == 0 || len(rq.PrefixBlocks) > 0 {
+		return rl.SpreadKey
+	}
+	return xxhash.Sum64String(string(rq.ID))
+}
+
 // logLimit logs the state of the customer's limit that a request was rejected by.
 func (rl *Relay) logLimit(rq *Request) {
 	rl.mu.Lock()
