Offers on ended connections are made up to four times, after a pause

Cause: a connection whose last stream was cancelled as it ended is given back before it has closed, so that an offer made again at once met the same one ('unreachable: context canceled' within 50 ms). One pause alone doesn't help where several are kept. Now up to four offers, 5, 10 and 15 ms after each other, only while they fail at once. TestOfferOnEndedConnection ends three offers of four (one of two before). The refusal names the last reason.

--- a/internal/node/entry/forward.go
+++ b/internal/node/entry/forward.go
@@ -29,6 +29,10 @@
 	// cutOfferTime is the time within which an offer fails that met a connection which had ended. It is made
 	// again, to the same peer.
 	cutOfferTime = 50 * time.Millisecond
+	// maxCutOffers bounds the offers of a request to one peer that end so. The pause before each is
+	// cutOfferPause longer.
+	maxCutOffers  = 4
+	cutOfferPause = 5 * time.Millisecond
 	// maxForwarded bounds the requests of peers in progress, and maxForwardedBytes their bodies,
 	// so that this node's own callers are served as before.
 	maxForwarded      = 256
@@ -82,7 +86,7 @@
 // Forward implements relay.Detours.
 func (fo *forwards) Forward(ctx context.Context, fw *relay.Forward) (*relay.Reply, error) {
 	const op = "entry.Forward"
-	asked := map[units.VMID]bool{}
+	asked, last := map[units.VMID]bool{}, error(fault.New(op, KindForward, "none is known to"))
 	for range maxForwardTries {
 		to, ok := fo.choose(fw.Service, asked)
 		if !ok || ctx.Err() != nil {
@@ -93,8 +97,9 @@
 		if err == nil || fault.Is(err, KindForward) {
 			return rp, relayError(op, relay.KindBroken, err)
 		}
+		last = err
 	}
-	return nil, relayError(op, relay.KindNoDetour, fault.New(op, KindForward, "no other node takes requests of %s", fw.Service))
+	return nil, relayError(op, relay.KindNoDetour, fault.New(op, KindForward, "no other node takes requests of %s: %s", fw.Service, last))
 }
 
 func relayError(op string, ki relay.Kind, err error) error { return fault.Wrap(op, ki, err) }
@@ -109,7 +114,8 @@
 		fo.ended(to.Node)
 	})
 	fs, declined, err := fo.offer(ctx, cancel, to, fw)
-	if fault.Is(err, KindOfferCut) { // A kept connection may have ended since its latest request.
+	// Several kept connections may have ended, and one that is ending may be kept until it has.
+	for num := 1; num < maxCutOffers && fault.Is(err, KindOfferCut) && pause.For(ctx, time.Duration(num)*cutOfferPause); num++ {
 		fs, declined, err = fo.offer(ctx, cancel, to, fw)
 	}
 	if callerCtx.Err() == nil { // Otherwise it was not the peer that ended it.
--- a/internal/node/entry/forward_test.go
+++ b/internal/node/entry/forward_test.go
@@ -118,12 +118,12 @@
 	_ = fs.Send(pulse.FrameEnd, nil)
 }
 
-// TestOfferOnEndedConnection guards against a request that no node takes since the connection kept to the only
+// TestOfferOnEndedConnection guards against a request that no node takes since the connections kept to the only
 // peer had just ended.
 func TestOfferOnEndedConnection(t *testing.T) {
 	var offers atomic.Int64
 	no := newForwardTest(t, func(ctx context.Context, fs *pulse.FrameStream) {
-		if offers.Add(1)%2 == 0 {
+		if offers.Add(1)%4 == 0 {
 			answerOffer(ctx, fs)
 		}
 	})
