An offer that ends with its connection is known by that, not by the time

Under the race detector beside ten busy threads TestOfferOnEndedConnection failed once in three runs: an offer whose connection ended took more than 50 ms, and counted as one that the peer was silent to. Now all that fail before the time for an answer is over count as cut, and are made again within that time (0.25 s). Five of five such runs pass since, with TestRequestsOnKeptConnections and the tests of forwarded requests.

--- a/internal/node/entry/forward.go
+++ b/internal/node/entry/forward.go
@@ -26,11 +26,8 @@
 	maxForwardTries = 8
 	// acceptTimeout bounds the time in which a peer takes a request or declines it.
 	acceptTimeout = 250 * time.Millisecond
-	// cutOfferTime is the time within which an offer fails that met a connection which had ended. It is made
-	// again, to the same peer.
-	cutOfferTime = 50 * time.Millisecond
-	// maxCutOffers bounds the offers of a request to one peer that end so. The pause before each is
-	// cutOfferPause longer.
+	// maxCutOffers bounds the offers of a request to one peer that end with their connections, within
+	// acceptTimeout. The pause before each is cutOfferPause longer.
 	maxCutOffers  = 4
 	cutOfferPause = 5 * time.Millisecond
 	// maxForwarded bounds the requests of peers in progress, and maxForwardedBytes their bodies,
@@ -86,7 +83,7 @@
 // Forward implements relay.Detours.
 func (fo *forwards) Forward(ctx context.Context, fw *relay.Forward) (*relay.Reply, error) {
 	const op = "entry.Forward"
-	asked, last := map[units.VMID]bool{}, error(fault.New(op, KindForward, "none is known to"))
+	asked, last := map[units.VMID]bool{}, fault.New(op, KindForward, "none is known to")
 	for range maxForwardTries {
 		to, ok := fo.choose(fw.Service, asked)
 		if !ok || ctx.Err() != nil {
@@ -108,6 +105,7 @@
 // taken it, and of KindForward if it may have run.
 func (fo *forwards) forwardTo(callerCtx context.Context, to pulse.Peer, fw *relay.Forward) (*relay.Reply, error) {
 	ctx, cancel := context.WithCancel(callerCtx)
+	began := time.Now()
 	fo.began(to.Node)
 	done := sync.OnceFunc(func() {
 		cancel()
@@ -115,7 +113,7 @@
 	})
 	fs, declined, err := fo.offer(ctx, cancel, to, fw)
 	// Several kept connections may have ended, and one that is ending may be kept until it has.
-	for num := 1; num < maxCutOffers && fault.Is(err, KindOfferCut) && pause.For(ctx, time.Duration(num)*cutOfferPause); num++ {
+	for num := 1; num < maxCutOffers && fault.Is(err, KindOfferCut) && time.Since(began) < acceptTimeout && pause.For(ctx, time.Duration(num)*cutOfferPause); num++ {
 		fs, declined, err = fo.offer(ctx, cancel, to, fw)
 	}
 	if callerCtx.Err() == nil { // Otherwise it was not the peer that ended it.
@@ -167,13 +165,13 @@
 }
 
 // offer offers a request to a peer and commits it once the peer has taken it. refusal is set if
-// the peer declined. An offer whose connection ends within cutOfferTime fails with KindOfferCut.
+// the peer declined. An offer whose connection ends before acceptTimeout fails with KindOfferCut.
 func (fo *forwards) offer(ctx context.Context, abort context.CancelFunc, to pulse.Peer, fw *relay.Forward) (fs *pulse.FrameStream, refusal *pulse.Refusal, err error) {
 	const op = "entry.offer"
-	tm, began := time.AfterFunc(acceptTimeout, abort), time.Now()
+	tm := time.AfterFunc(acceptTimeout, abort)
 	defer tm.Stop()
 	declined := func(err error) error {
-		if time.Since(began) < cutOfferTime {
+		if ctx.Err() == nil {
 			return fault.Wrap(op, KindOfferCut, err)
 		}
 		return fault.Wrap(op, KindDeclined, err)
