--- a/review/_cases/bodies.go
+++ b/review/_cases/bodies.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -40,6 +39,9 @@
 	ls      net.Listener
 	trouble atomic.Bool
 	running atomic.Int64
+	// events is the number of events of an answer, gap the time between them.
+	events int
+	gap    time.Duration
 
 	mu sync.Mutex
 	// ran are the requests that the replica has begun to run while it was sound.
@@ -51,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	mo := &model{id: id, slots: slots, link: li, ls: ls, ran: map[string]time.Time{}}
+	mo := &model{id: id, slots: slots, link: li, ls: ls, events: 17, gap: 50 * time.Millisecond, ran: map[string]time.Time{}}
 	go func() {
 		for cn, err := ls.Accept(); err == nil; cn, err = ls.Accept() {
 			go mo.serve(cn)
@@ -97,7 +99,7 @@
 		mo.mu.Lock()
 		mo.ran[id] = time.Now()
 		mo.mu.Unlock()
-		ok := stream(cn, head)
+		ok := mo.stream(cn, head)
 		mo.running.Add(-1)
 		if !ok {
 			return
@@ -105,18 +107,18 @@
 	}
 }
 
-// stream answers with 17 events.
-func stream(cn net.Conn, head string) bool {
+// stream answers with events.
+func (mo *model) stream(cn net.Conn, head string) bool {
 	time.Sleep(30 * time.Millisecond)
 	if _, err := fmt.Fprintf(cn, "%sContent-Type: text/event-stream\r\n\r\n", head); err != nil {
 		return false
 	}
-	for num := 1; num <= 17; num++ {
+	for num := 1; num <= mo.events; num++ {
 		ev := fmt.Sprintf("id: %d\ndata: some words of the answer\n\n", num)
 		if _, err := fmt.Fprintf(cn, "%x\r\n%s\r\n", len(ev), ev); err != nil {
 			return false
 		}
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(mo.gap)
 	}
 	_, err := io.WriteString(cn, "0\r\n\r\n")
 	return err == nil
@@ -172,18 +174,7 @@
 		return cannotRun, err
 	}
 	var peak, good, failed, lost atomic.Int64
-	// The platform kills a process that exceeds the memory of its machine.
-	go func() {
-		for ; ctx.Err() == nil && no.isUp(); time.Sleep(5 * time.Millisecond) {
-			mem := no.memory()
-			peak.Store(max(peak.Load(), int64(mem)))
-			if mem > memory {
-				wo.note("the process has %.0f MiB resident, over the %d MB of its machine, and is killed", mem, memory)
-				no.signal(syscall.SIGKILL)
-				return
-			}
-		}
-	}()
+	go wo.watchMemory(ctx, no, memory, &peak)
 	var wg sync.WaitGroup
 	load, stop := context.WithCancel(ctx)
 	defer stop()
--- a/review/_cases/client.go
+++ b/review/_cases/client.go
@@ -51,6 +51,8 @@
 // client sends requests one after the other on a connection that it keeps.
 type client struct {
 	addr string
+	// link bounds what all clients with it send, nil for no bound.
+	link *link
 	cn   net.Conn
 	rd   *bufio.Reader
 }
@@ -81,7 +83,7 @@
 		cl.cn, cl.rd = cn, bufio.NewReader(cn)
 	}
 	_ = cl.cn.SetDeadline(time.Now().Add(patience))
-	if _, err := io.WriteString(cl.cn, rq.text(an.id)); err != nil {
+	if err := cl.write(rq.text(an.id)); err != nil {
 		an.err = err
 		return an
 	}
@@ -100,6 +102,20 @@
 	return an
 }
 
+func (cl *client) write(text string) error {
+	for len(text) > 0 {
+		size := min(len(text), 32<<10)
+		if cl.link != nil {
+			cl.link.take(size)
+		}
+		if _, err := io.WriteString(cl.cn, text[:size]); err != nil {
+			return err
+		}
+		text = text[size:]
+	}
+	return nil
+}
+
 // loop sends requests one after the other until ctx ends.
 func (cl *client) loop(ctx context.Context, rq *request, think time.Duration, seen func(answer)) {
 	defer cl.close()
--- a/review/_cases/world.go
+++ b/review/_cases/world.go
@@ -134,13 +134,17 @@
 			return
 		case <-time.After(heartbeat):
 		}
-		wo.mu.Lock()
-		for id, rec := range wo.servers {
-			wo.sequence++
-			rec["sequence"] = wo.sequence
-			wo.store.Put(topicServers, id, rec)
-		}
-		wo.mu.Unlock()
+		wo.renewNow()
+	}
+}
+
+func (wo *world) renewNow() {
+	wo.mu.Lock()
+	defer wo.mu.Unlock()
+	for id, rec := range wo.servers {
+		wo.sequence++
+		rec["sequence"] = wo.sequence
+		wo.store.Put(topicServers, id, rec)
 	}
 }
 
@@ -294,6 +298,20 @@
 	return kb / 1024
 }
 
+// watchMemory records the most memory of a node's process, and kills it if that exceeds the MB of its machine, as the
+// platform does.
+func (wo *world) watchMemory(ctx context.Context, no *node, limit float64, peak *atomic.Int64) {
+	for ; ctx.Err() == nil && no.isUp(); time.Sleep(5 * time.Millisecond) {
+		mem := no.memory()
+		peak.Store(max(peak.Load(), int64(mem)))
+		if mem > limit {
+			wo.note("the process has %.0f MiB resident, over the %.0f MB of its machine, and is killed", mem, limit)
+			no.signal(syscall.SIGKILL)
+			return
+		}
+	}
+}
+
 // files returns the number of descriptors that the node's process has open.
 func (no *node) files() int {
 	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", no.cmd.Process.Pid))
