--- a/review/_cases/world.go
+++ b/review/_cases/world.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -148,14 +149,16 @@
 	}
 }
 
-// bindings are the ports of one node.
+// freeAddress returns a loopback address with a free port below those that the kernel gives to connections.
 func freeAddress() string {
-	ls, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		addr := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(20000))
+		ls, err := net.Listen("tcp", addr)
+		if err == nil {
+			_ = ls.Close()
+			return addr
+		}
 	}
-	defer func() { _ = ls.Close() }()
-	return ls.Addr().String()
 }
 
 // The figures of the site bbsw-austin that the settings name.
