review: streams of two versions are joined after all nodes were killed

A release replaces the replicas by those of another version while all nodes are down, on a platform without duties: 12 of 12 streams go on at the other version.

--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -22,7 +22,7 @@
 }
 
 func run(name, root, out string) int {
-	cases := map[string]func(*world, bool) (int, error){"bodies": bodies, "files": files, "usage": usage, "uploads": uploads}
+	cases := map[string]func(*world, bool) (int, error){"bodies": bodies, "files": files, "usage": usage, "uploads": uploads, "versions": versions}
 	do := cases[name]
 	if do == nil {
 		fmt.Fprintln(os.Stderr, "cases: there is no case", name)
