--- a/review/_cases/uploads.go
+++ b/review/_cases/uploads.go
@@ -15,8 +15,8 @@
 	const (
 		memory   = 284 // MB, of the site's machines.
 		linkMbps = 1000
-		clients  = 44
-		added    = 30 // 1.7 times as many.
+		clients  = 50
+		added    = 35 // 1.7 times as many.
 		calm     = 14 * time.Second
 		length   = 30 * time.Second
 		maxLost  = 3
