--- a/review/_cases/bodies.go
+++ b/review/_cases/bodies.go
@@ -40,8 +40,9 @@
 	trouble atomic.Bool
 	running atomic.Int64
 	// events is the number of events of an answer, gap the time between them.
-	events int
-	gap    time.Duration
+	// first is the time to the first one.
+	events     int
+	first, gap time.Duration
 
 	mu sync.Mutex
 	// ran are the requests that the replica has begun to run while it was sound.
@@ -53,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	mo := &model{id: id, slots: slots, link: li, ls: ls, events: 17, gap: 50 * time.Millisecond, ran: map[string]time.Time{}}
+	mo := &model{id: id, slots: slots, link: li, ls: ls, events: 17, first: 300 * time.Millisecond, gap: 50 * time.Millisecond, ran: map[string]time.Time{}}
 	go func() {
 		for cn, err := ls.Accept(); err == nil; cn, err = ls.Accept() {
 			go mo.serve(cn)
@@ -109,7 +110,7 @@
 
 // stream answers with events.
 func (mo *model) stream(cn net.Conn, head string) bool {
-	time.Sleep(30 * time.Millisecond)
+	time.Sleep(mo.first)
 	if _, err := fmt.Fprintf(cn, "%sContent-Type: text/event-stream\r\n\r\n", head); err != nil {
 		return false
 	}
@@ -148,7 +149,7 @@
 		memory   = 284 // MB, of the site's machines.
 		linkMbps = 1000
 		slots    = 48
-		clients  = 64
+		clients  = 112
 		calm     = 8 * time.Second
 		length   = 40 * time.Second
 		maxLost  = 3
@@ -173,16 +174,17 @@
 	if err := wo.start(no, 4100); err != nil {
 		return cannotRun, err
 	}
-	var peak, good, failed, lost atomic.Int64
+	var peak, good, failed, begun, lost atomic.Int64
 	go wo.watchMemory(ctx, no, memory, &peak)
 	var wg sync.WaitGroup
 	load, stop := context.WithCancel(ctx)
 	defer stop()
-	for range clients {
+	for num := range clients {
 		wg.Go(func() {
+			time.Sleep(time.Duration(num) * 12 * time.Millisecond) // One after the other, as clients come.
 			rq := &request{method: "POST", path: "/stream/a", body: "prompt", deadline: 6 * time.Second, tokens: "300,51"}
 			first := true
-			(&client{addr: no.callers}).loop(load, rq, 200*time.Millisecond, func(an answer) {
+			(&client{addr: no.callers}).loop(load, rq, time.Duration(150+num)*time.Millisecond, func(an answer) {
 				kept := !first
 				first = false
 				switch {
@@ -190,11 +192,13 @@
 					good.Add(1)
 				case an.err == nil:
 					failed.Add(1)
-				case kept && !an.complete:
-					for _, mo := range list {
+				case an.status != 0: // The answer has begun, which the rule doesn't count.
+					begun.Add(1)
+				case kept:
+					for _, mo := range list[1:] {
 						if mo.hasRun(an.id) {
 							lost.Add(1)
-							wo.note("%s on a kept connection, passed on to the sound replica %s: no whole answer, %v", an.id, mo.id, an.err)
+							wo.note("%s on a kept connection, passed on to the sound replica %s: no answer, %v", an.id, mo.id, an.err)
 						}
 					}
 				}
@@ -215,7 +219,7 @@
 		stop()
 	}
 	wg.Wait()
-	wo.note("the process runs: %t; at most %d MiB; requests from kept connections that were passed on to a sound replica and whose connection ended without a whole answer: %d", up, peak.Load(), lost.Load())
+	wo.note("the process runs: %t; at most %d MiB; requests from kept connections that were passed on to a sound replica and whose connection ended without an answer: %d; answers that broke off: %d", up, peak.Load(), lost.Load(), begun.Load())
 	if !up && lost.Load() > maxLost {
 		return broken, nil
 	}
--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 const (
@@ -34,6 +36,13 @@
 		return cannotRun
 	}
 	defer wo.close()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-ended
+		wo.close()
+		os.Exit(cannotRun)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	wo.note("case %s, with the disruption: %t", name, trouble)
 	verdict, err := do(wo, trouble)
--- a/review/_cases/versions.go
+++ b/review/_cases/versions.go
@@ -25,10 +25,12 @@
 		events   = 40
 		pause    = 100 * time.Millisecond
 		deadline = 6 * time.Second
-		// The streams have run for a second when the release begins, and the nodes are killed a second later.
+		// The streams have run for a second when the first release begins; the second one follows after gap. The nodes are
+		// killed as the first of the old replicas leaves.
 		lead      = time.Second
 		drain     = 2300 * time.Millisecond
-		down      = 2 * time.Second
+		down      = time.Second
+		gap       = 750 * time.Millisecond
 		maxJoined = 2
 	)
 	figures["cloud.duties"] = "[]"
@@ -72,9 +74,13 @@
 	}
 	time.Sleep(lead)
 	if trouble {
-		for _, re := range old {
+		for num, re := range old {
+			if num > 0 {
+				time.Sleep(gap)
+			}
 			add("n-"+re.ID, "v2") // The new one starts first.
 			wo.putServer(re.ID, "lm-pool", re.Address(), "draining", 48, map[string]any{"version": "v1"})
+			wo.note("a replica of v2 has started, and %s of v1 drains", re.ID)
 			time.AfterFunc(drain, func() {
 				wo.removeServer(re.ID)
 				re.CloseClientConnections()
@@ -82,8 +88,7 @@
 				wo.note("%s of v1 has left", re.ID)
 			})
 		}
-		wo.note("replicas of v2 have started, those of v1 drain")
-		time.Sleep(lead)
+		time.Sleep(drain - gap - 50*time.Millisecond)
 		for _, no := range wo.nodes {
 			no.signal(9)
 		}
