relay: log requests that a leaving node cuts

The log said that a request was ended since its node stopped, but not when it came after the signal, nor how far its answer was at its server and its caller, so that an estimate that was too short, an answer that was not delivered and an early stop looked alike. The new line request_cut has the times since the signal of the arrival, the deadline and the cut, the usual duration, and the bytes and last event on both sides; lycheepick_requests_cut_total counts them. The door asks the kernel for what the caller's machine has not acknowledged.

No decision is changed.

--- a/internal/edge/door/answer.go
+++ b/internal/edge/door/answer.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/units"
 )
 
 // Answer writes the response to one request.
@@ -24,6 +25,8 @@
 	started             bool
 	completed           bool
 	status              int
+	// writtenBefore is what had been written to the connection before this response.
+	writtenBefore units.Bytes
 }
 
 const writerBytes = 4 << 10
@@ -36,6 +39,14 @@
 // Status returns the HTTP status of the response, 0 before it is started.
 func (an *Answer) Status() int { return an.status }
 
+// Delivered returns the bytes of the response that the caller's machine has acknowledged.
+func (an *Answer) Delivered() units.Bytes {
+	if !an.started {
+		return 0
+	}
+	return max(0, an.cn.written-an.writtenBefore-an.cn.unacknowledged())
+}
+
 // Respond sends a complete response with its content length. The one to a HEAD request keeps the length that
 // its header states.
 func (an *Answer) Respond(hd *fasthttp.ResponseHeader, body []byte) error {
@@ -128,7 +139,8 @@
 		hd.SetConnectionClose()
 	}
 	an.wr = writers.Get().(*bufio.Writer)
-	an.wr.Reset(an.cn.Conn)
+	an.wr.Reset(an.cn)
+	an.writtenBefore = an.cn.written
 	if err := hd.Write(an.wr); err != nil {
 		return an.fail(err)
 	}
--- a/internal/edge/door/link.go
+++ b/internal/edge/door/link.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"lycheepick/internal/rule/units"
 )
 
 // conn is a caller's connection. Read returns the bytes of readAhead first.
@@ -17,6 +19,33 @@
 	readAhead []byte
 	// meter counts what is read, nil for nothing.
 	meter *meter
+	// written is what has been handed to the kernel.
+	written units.Bytes
+}
+
+// Write implements net.Conn.
+func (cn *conn) Write(buf []byte) (int, error) {
+	num, err := cn.Conn.Write(buf)
+	cn.written += units.Bytes(num)
+	return num, err
+}
+
+// unacknowledged returns what the kernel still has to send, or has sent and may have to send again.
+func (cn *conn) unacknowledged() (out units.Bytes) {
+	tc, ok := cn.Conn.(*net.TCPConn)
+	if !ok {
+		return 0
+	}
+	raw, err := tc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	_ = raw.Control(func(fd uintptr) {
+		if num, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ); err == nil {
+			out = units.Bytes(num)
+		}
+	})
+	return out
 }
 
 // Read implements net.Conn.
--- a/internal/edge/relay/answer.go
+++ b/internal/edge/relay/answer.go
@@ -187,6 +187,7 @@
 
 // forwardBody forwards the response of a server, which is a stream if its route and its type say so.
 func (ru *run) forwardBody(pi *picked, rp *Reply, sentAt time.Time) error {
+	rp.Body = &countedBody{Reader: rp.Body, count: &ru.received}
 	if ru.rq.Route.Stream && rp.Status == fasthttp.StatusOK && isEventStream(rp.Head) {
 		return ru.stream(pi, rp)
 	}
@@ -254,6 +255,7 @@
 		if err := ru.sink.Part(good); err != nil {
 			return fault.Wrap(op, KindCallerGone, err)
 		}
+		ru.delivered = latest
 	}
 	return fault.Wrap(op, KindBroken, bad)
 }
--- /dev/null
+++ b/internal/edge/relay/leave.go
@@ -0,0 +1,100 @@
+package relay
+
+import (
+	"io"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lycheepick/internal/rule/admit"
+	"lycheepick/internal/rule/fault"
+	"lycheepick/internal/rule/units"
+)
+
+// departure tells when a node was told to stop, and when it stops.
+type departure struct{ signalAt, stopsAt time.Time }
+
+// Drain makes the relay refuse requests that are not expected to end before the node stops.
+func (rl *Relay) Drain(signalAt, stopsAt time.Time) {
+	rl.departure.Store(&departure{signalAt: signalAt, stopsAt: stopsAt})
+}
+
+// Stop ends the requests in progress. Those without an answer yet get one that says whether they may
+// have run.
+func (rl *Relay) Stop() { rl.stop() }
+
+// outlastsNode reports whether the node is expected to stop before the request could complete.
+func (rl *Relay) outlastsNode(rq *Request) bool {
+	de := rl.departure.Load()
+	if de == nil {
+		return false
+	}
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	now := time.Now()
+	return !rl.durations[rq.Route.Name].EndsWithin(rq.Route.Stream, de.stopsAt.Sub(now), rq.Deadline.Sub(now))
+}
+
+// recordDuration records how long a request took that has got its whole answer, or none in time.
+func (rl *Relay) recordDuration(rq *Request) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	du := rl.durations[rq.Route.Name]
+	if du == nil {
+		du = &admit.Durations{}
+		rl.durations[rq.Route.Name] = du
+	}
+	du.Observe(time.Since(rq.Arrived))
+}
+
+// deliverer is a Sink that knows how much of the response its caller has received.
+type deliverer interface {
+	// Delivered returns the bytes of the response, header and framing included, that have arrived at
+	// the caller's machine.
+	Delivered() units.Bytes
+}
+
+// progress is how far a response has come, from its server and to its caller.
+type progress struct {
+	// received is what the servers have sent of bodies, and delivered the last event that was written to the
+	// caller.
+	received  units.Bytes
+	delivered string
+}
+
+// countedBody counts what is read of the body of a response.
+type countedBody struct {
+	io.Reader
+	count *units.Bytes
+}
+
+// Read implements io.Reader.
+func (cb *countedBody) Read(buf []byte) (int, error) {
+	num, err := cb.Reader.Read(buf)
+	*cb.count += units.Bytes(num)
+	return num, err
+}
+
+// logCut logs a request that a server was at work on as the node stopped. Times are since the signal,
+// negative before it.
+func (ru *run) logCut(err error) {
+	de := ru.rl.departure.Load()
+	if de == nil || !fault.Is(err, KindStopping) {
+		return
+	}
+	ru.rl.Counts.Cut.Add(1)
+	rq := ru.rq
+	ru.rl.mu.Lock()
+	expected := ru.rl.durations[rq.Route.Name].Expected(rq.Route.Stream)
+	ru.rl.mu.Unlock()
+	delivered := units.Bytes(0)
+	if de, ok := ru.sink.(deliverer); ok {
+		delivered = de.Delivered()
+	}
+	ru.rl.Log.Warn("request_cut", zap.String("request", string(rq.ID)), zap.String("route", rq.Route.Name),
+		zap.Duration("arrived", rq.Arrived.Sub(de.signalAt)), zap.Duration("cut", time.Since(de.signalAt)),
+		zap.Duration("deadline", rq.Deadline.Sub(de.signalAt)), zap.Duration("expected", expected),
+		zap.Bool("began", !ru.beganAt.IsZero()), zap.String("server", string(ru.last.Server.ID)),
+		zap.Int64("server_bytes", int64(ru.received)), zap.String("server_event", ru.lastEvent),
+		zap.Int64("caller_bytes", int64(delivered)), zap.String("caller_event", ru.delivered))
+}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -193,7 +193,9 @@
 // Counts are the totals exported as metrics.
 type Counts struct {
 	Received, Done, NotRun, Unknown, Gone atomic.Int64
-	Limited, Overload, NoServer           atomic.Int64
+	// Cut counts requests that a server was at work on as the node stopped.
+	Cut                         atomic.Int64
+	Limited, Overload, NoServer atomic.Int64
 	// NoOrigin counts streams that were not taken up again since the software version that began
 	// them is not known.
 	NoOrigin atomic.Int64
@@ -246,10 +248,10 @@
 	// OwnsTrials reports whether this node, and no other, may try a blocked key again.
 	OwnsTrials func(crash.Key) bool
 
-	// leavesAt is when the node stops, nil while it isn't leaving. stopping ends then, by stop.
-	leavesAt atomic.Pointer[time.Time]
-	stopping context.Context
-	stop     context.CancelFunc
+	// departure is nil while the node isn't leaving. stopping ends as it stops, by stop.
+	departure atomic.Pointer[departure]
+	stopping  context.Context
+	stop      context.CancelFunc
 	// syncedAt is when the list of servers last matched the store, in Unix nanoseconds.
 	syncedAt atomic.Int64
 	// awaitsVersions is set until the versions before this node's start are known.
@@ -281,37 +283,6 @@
 	maxWaits map[string]time.Duration
 }
 
-// Drain makes the relay refuse requests that are not expected to end before the node stops.
-func (rl *Relay) Drain(stopsAt time.Time) { rl.leavesAt.Store(&stopsAt) }
-
-// Stop ends the requests in progress. Those without an answer yet get one that says whether they may
-// have run.
-func (rl *Relay) Stop() { rl.stop() }
-
-// outlastsNode reports whether the node is expected to stop before the request could complete.
-func (rl *Relay) outlastsNode(rq *Request) bool {
-	at := rl.leavesAt.Load()
-	if at == nil {
-		return false
-	}
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	now := time.Now()
-	return !rl.durations[rq.Route.Name].EndsWithin(rq.Route.Stream, at.Sub(now), rq.Deadline.Sub(now))
-}
-
-// recordDuration records how long a request took that has got its whole answer, or none in time.
-func (rl *Relay) recordDuration(rq *Request) {
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	du := rl.durations[rq.Route.Name]
-	if du == nil {
-		du = &admit.Durations{}
-		rl.durations[rq.Route.Name] = du
-	}
-	du.Observe(time.Since(rq.Arrived))
-}
-
 type service struct {
 	fleet      *place.Fleet
 	budget     *retry.Budget
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -122,7 +122,8 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			rl, ex, si := newRelay(1), &exchange{replies: []*relay.Reply{serverFailure()}}, &sink{}
-			rl.Drain(time.Now().Add(7500*time.Millisecond - tt.since)) // A grace of 8 s.
+			signalAt := time.Now().Add(-tt.since)
+			rl.Drain(signalAt, signalAt.Add(7500*time.Millisecond)) // A grace of 8 s.
 			rl.Serve(context.Background(), request(tt.route), ex, si)
 			if ex.sends != tt.sends {
 				t.Fatalf("sends: have %d, want %d", ex.sends, tt.sends)
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -50,6 +50,7 @@
 	sends, events, asks int
 	// lastEvent is the ID of the last event forwarded.
 	lastEvent string
+	progress
 	// last is the most recently selected server, and unsent the time from its selection until
 	// the request was handed to the kernel, 0 if there was no answer.
 	last   picked
@@ -374,6 +375,9 @@
 		return
 	}
 	state := ru.machine.Abort()
+	if state != answer.NotRun {
+		ru.logCut(err)
+	}
 	if err == nil || fault.Is(err, KindDeadline) {
 		ru.rl.recordDuration(ru.rq)
 	}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -306,7 +306,7 @@
 	no.leaving.Store(true)
 	began := time.Now()
 	stopsAt := began.Add(no.settings.Timing.Grace() - killMargin)
-	no.relay.Drain(stopsAt)
+	no.relay.Drain(began, stopsAt)
 	no.log.Info("node_leaving")
 	work := ctx
 	ctx, cancel := context.WithDeadline(work, stopsAt)
--- a/internal/node/entry/ready.go
+++ b/internal/node/entry/ready.go
@@ -56,7 +56,7 @@
 	for name, load := range map[string]func() int64{
 		"requests_received_total": co.Received.Load, "requests_done_total": co.Done.Load,
 		"requests_not_run_total": co.NotRun.Load, "requests_unknown_total": co.Unknown.Load,
-		"requests_gone_total": co.Gone.Load, "requests_limited_total": co.Limited.Load,
+		"requests_gone_total": co.Gone.Load, "requests_cut_total": co.Cut.Load, "requests_limited_total": co.Limited.Load,
 		"requests_overload_total": co.Overload.Load, "requests_no_server_total": co.NoServer.Load,
 		"requests_repeated_total": co.Retries.Load, "streams_resumed_total": co.Resumes.Load,
 		"attempts_total": co.Sent.Load, "attempts_refused_total": co.Refused.Load,
