entry: a leaving node takes no request once it has found none in progress

Callers' requests were cut that a leaving node had taken just before it ended: it waited until none was in progress, and went on taking them while it waited for what it served for other nodes and closed its listeners; relay.Stop and the end of the context cut these.

The relay and the door count requests in an intake that closes in the same step in which it finds the last one gone, so that none can begin after that. Until then, and while a node waits for what it serves for others, requests are refused or served as before.

--- a/internal/edge/door/door.go
+++ b/internal/edge/door/door.go
@@ -15,7 +15,9 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"lycheepick/internal/edge/intake"
 	"lycheepick/internal/edge/memory"
+	"lycheepick/internal/edge/pause"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/units"
 )
@@ -84,26 +86,31 @@
 
 	readers  sync.Pool
 	draining atomic.Bool
+	requests intake.Intake
 	mu       sync.Mutex
 	idle     map[*conn]struct{}
 	stopped  bool
-	inFlight sync.WaitGroup
+	// listeners are those of Serve.
+	listeners []net.Listener
 }
 
-// Serve accepts connections on ls until ctx ends, and then closes the idle ones and waits for the others
-// to be closed.
+// Serve accepts connections on ls until ctx ends or Close is called, and then closes the idle ones and waits for the
+// others to be closed.
 func (sv *Server) Serve(ctx context.Context, ls net.Listener) error {
 	const op = "door.Serve"
-	stop := context.AfterFunc(ctx, func() {
-		_ = ls.Close()
-		sv.closeIdle(true)
-	})
+	sv.mu.Lock()
+	sv.listeners = append(sv.listeners, ls)
+	sv.mu.Unlock()
+	stop := context.AfterFunc(ctx, sv.stopListening)
 	defer stop()
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	for {
 		cn, err := ls.Accept()
-		if ctx.Err() != nil {
+		if sv.isStopped() || ctx.Err() != nil {
+			if err == nil {
+				_ = cn.Close()
+			}
 			return nil
 		}
 		if errors.Is(err, net.ErrClosed) {
@@ -121,37 +128,41 @@
 // ones after idleCloseDelay or when ctx ends.
 func (sv *Server) Drain(ctx context.Context) {
 	sv.draining.Store(true)
-	tm := time.NewTimer(idleCloseDelay)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tm.C:
+	pause.For(ctx, idleCloseDelay)
+	sv.closeIdle()
+}
+
+// Close makes the server take no more connections, and no more requests once none is in progress, when the channel is
+// closed.
+func (sv *Server) Close() <-chan struct{} {
+	sv.draining.Store(true)
+	sv.stopListening()
+	return sv.requests.CloseAtIdle()
+}
+
+func (sv *Server) stopListening() {
+	sv.mu.Lock()
+	sv.stopped = true
+	for _, ls := range sv.listeners {
+		_ = ls.Close()
 	}
-	sv.closeIdle(false)
+	sv.mu.Unlock()
+	sv.closeIdle()
 }
 
-// closeIdle closes the connections that wait for their next request, and with stop also those that
-// would wait later.
-func (sv *Server) closeIdle(stop bool) {
+// closeIdle closes the connections that wait for their next request.
+func (sv *Server) closeIdle() {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	sv.stopped = sv.stopped || stop
 	for cn := range sv.idle {
 		_ = cn.Close()
 	}
 }
 
-// Wait returns when no request is in progress, or when ctx ends.
-func (sv *Server) Wait(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		sv.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-ctx.Done():
-	case <-done:
-	}
+func (sv *Server) isStopped() bool {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.stopped
 }
 
 // setIdle records whether a connection is waiting for its next request. It returns false if it shouldn't.
@@ -197,8 +208,10 @@
 // serveOne reads and serves one request. It returns false if the connection must be
 // closed.
 func (sv *Server) serveOne(ctx context.Context, cn *conn, lim Limits) bool {
-	sv.inFlight.Add(1)
-	defer sv.inFlight.Done()
+	if !sv.requests.Enter() {
+		return false
+	}
+	defer sv.requests.Leave()
 	rd := sv.newReader(cn, lim)
 	req := &fasthttp.Request{}
 	held, status, err := sv.read(cn, rd, req, lim)
--- a/internal/edge/relay/detour.go
+++ b/internal/edge/relay/detour.go
@@ -339,6 +339,10 @@
 // customer's limit. It returns the final state.
 func (rl *Relay) ServeForwarded(ctx context.Context, rq *Request, fw *Forward, ex Exchange, sink Sink) answer.State {
 	rl.Counts.ForPeers.Add(1)
+	if !rl.enter(rq, sink) {
+		return answer.NotRun
+	}
+	defer rl.requests.Leave()
 	ro := *rq.Route
 	ro.MaxAttempts = max(1, min(fw.Attempts, ro.MaxAttempts))
 	rq.Route, rq.LastEvent = &ro, fw.LastEvent
--- a/internal/edge/relay/leave.go
+++ b/internal/edge/relay/leave.go
@@ -4,6 +4,7 @@
 	"io"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"lycheepick/internal/rule/admit"
@@ -19,9 +20,34 @@
 	rl.departure.Store(&departure{signalAt: signalAt, stopsAt: stopsAt})
 }
 
-// Stop ends the requests in progress. Those without an answer yet get one that says whether they may
-// have run.
-func (rl *Relay) Stop() { rl.stop() }
+// CloseAtIdle makes the relay refuse all requests as soon as none is in progress, when the channel is closed.
+func (rl *Relay) CloseAtIdle() <-chan struct{} { return rl.requests.CloseAtIdle() }
+
+// Stop refuses all requests and ends those in progress. Those without an answer yet get one that says whether they
+// may have run. The channel is closed once none is in progress.
+func (rl *Relay) Stop() <-chan struct{} {
+	ended := rl.requests.Close()
+	rl.stop()
+	return ended
+}
+
+// enter takes a request, for which requests.Leave has to be called at its end. If another node has to serve it,
+// enter refuses it and returns false.
+func (rl *Relay) enter(rq *Request, sink Sink) bool {
+	taken := rl.requests.Enter()
+	if taken && !rl.outlastsNode(rq) {
+		return true
+	}
+	if taken {
+		rl.requests.Leave()
+	}
+	rl.refuseLeaving(rq, sink)
+	return false
+}
+
+func (rl *Relay) refuseLeaving(rq *Request, sink Sink) {
+	rl.refuse(rq, sink, fasthttp.StatusServiceUnavailable, "this node is leaving", drainRetryAfter)
+}
 
 // outlastsNode reports whether the node is expected to stop before the request could complete.
 func (rl *Relay) outlastsNode(rq *Request) bool {
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"lycheepick/internal/edge/intake"
 	"lycheepick/internal/edge/memory"
 	"lycheepick/internal/rule/admit"
 	"lycheepick/internal/rule/crash"
@@ -248,6 +249,8 @@
 	// OwnsTrials reports whether this node, and no other, may try a blocked key again.
 	OwnsTrials func(crash.Key) bool
 
+	// requests are those in progress.
+	requests intake.Intake
 	// departure is nil while the node isn't leaving. stopping ends as it stops, by stop.
 	departure atomic.Pointer[departure]
 	stopping  context.Context
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -89,10 +89,10 @@
 // disconnects.
 func (rl *Relay) Serve(ctx context.Context, rq *Request, ex Exchange, sink Sink) {
 	rl.Counts.Received.Add(1)
-	if rl.outlastsNode(rq) {
-		rl.refuse(rq, sink, fasthttp.StatusServiceUnavailable, "this node is leaving", drainRetryAfter)
+	if !rl.enter(rq, sink) {
 		return
 	}
+	defer rl.requests.Leave()
 	ru := rl.newRun(rq, ex, sink)
 	defer ru.dropFailure()
 	if ru.refuseBlocked() {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -301,25 +301,32 @@
 	balancerDelay = 3 * time.Second
 )
 
-// leave reports the node as not ready to the balancer and waits for the requests in progress.
-func (no *Node) leave(ctx context.Context) {
+// leave reports the node as not ready to the balancer and waits for the requests in progress. It takes requests
+// until none is in progress.
+func (no *Node) leave(work context.Context) {
 	no.leaving.Store(true)
 	began := time.Now()
 	stopsAt := began.Add(no.settings.Timing.Grace() - killMargin)
 	no.relay.Drain(began, stopsAt)
 	no.log.Info("node_leaving")
-	work := ctx
 	ctx, cancel := context.WithDeadline(work, stopsAt)
 	defer cancel()
 	no.door.Drain(ctx)
 	pause.For(ctx, balancerDelay-time.Since(began))
-	no.door.Wait(ctx)
+	await(ctx, no.relay.CloseAtIdle())
 	no.forwards.wait(ctx)
-	no.relay.Stop()
-	last, cancel := context.WithTimeout(work, lastAnswers)
+	last, cancel := context.WithDeadline(work, stopsAt.Add(lastAnswers))
 	defer cancel()
-	no.door.Wait(last)
+	await(last, no.relay.Stop())
 	no.forwards.wait(last)
+	await(last, no.door.Close())
+}
+
+func await(ctx context.Context, done <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+	case <-done:
+	}
 }
 
 // tickPeriod is the interval at which state that depends on time alone is updated.
