relay: a leaving node takes only requests whose deadline comes before it stops

Callers got half a stream: a leaving node took streams by how long others had taken, smoothed, plus four deviations and a quarter, and cut those that took longer 7.5 s after SIGTERM. No figure from earlier requests bounds one whose server becomes slower after it was taken. So the class of the fault is a promise that rests on an estimate.

Only the deadline bounds a request, since the relay ends it then. A leaving node now takes a request if its deadline comes first and else refuses it at once, as not run, so that its caller goes to another node; the same before it is sent again and has not run. The estimate is left for the log.

--- a/internal/edge/relay/leave.go
+++ b/internal/edge/relay/leave.go
@@ -12,13 +12,8 @@
 	"lycheepick/internal/rule/units"
 )
 
-// departure tells when a node was told to stop, and when it stops.
-type departure struct{ signalAt, stopsAt time.Time }
-
-// Drain makes the relay refuse requests that are not expected to end before the node stops.
-func (rl *Relay) Drain(signalAt, stopsAt time.Time) {
-	rl.departure.Store(&departure{signalAt: signalAt, stopsAt: stopsAt})
-}
+// Drain makes the relay refuse requests that could still be in progress when the node stops.
+func (rl *Relay) Drain(de admit.Departure) { rl.departure.Store(&de) }
 
 // CloseAtIdle makes the relay refuse all requests as soon as none is in progress, when the channel is closed.
 func (rl *Relay) CloseAtIdle() <-chan struct{} { return rl.requests.CloseAtIdle() }
@@ -31,6 +26,9 @@
 	return ended
 }
 
+// outlastsNode reports whether the node leaves and may stop before the request has ended.
+func (rl *Relay) outlastsNode(rq *Request) bool { return rl.departure.Load().Outlasts(rq.Deadline) }
+
 // enter takes a request, for which requests.Leave has to be called at its end. If another node has to serve it,
 // enter refuses it and returns false.
 func (rl *Relay) enter(rq *Request, sink Sink) bool {
@@ -49,18 +47,6 @@
 	rl.refuse(rq, sink, fasthttp.StatusServiceUnavailable, "this node is leaving", drainRetryAfter)
 }
 
-// outlastsNode reports whether the node is expected to stop before the request could complete.
-func (rl *Relay) outlastsNode(rq *Request) bool {
-	de := rl.departure.Load()
-	if de == nil {
-		return false
-	}
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	now := time.Now()
-	return !rl.durations[rq.Route.Name].EndsWithin(rq.Route.Stream, de.stopsAt.Sub(now), rq.Deadline.Sub(now))
-}
-
 // recordDuration records how long a request took that has got its whole answer, or none in time.
 func (rl *Relay) recordDuration(rq *Request) {
 	rl.mu.Lock()
@@ -114,12 +100,12 @@
 	expected := ru.rl.durations[rq.Route.Name].Expected(rq.Route.Stream)
 	ru.rl.mu.Unlock()
 	delivered := units.Bytes(0)
-	if de, ok := ru.sink.(deliverer); ok {
-		delivered = de.Delivered()
+	if dl, ok := ru.sink.(deliverer); ok {
+		delivered = dl.Delivered()
 	}
 	ru.rl.Log.Warn("request_cut", zap.String("request", string(rq.ID)), zap.String("route", rq.Route.Name),
-		zap.Duration("arrived", rq.Arrived.Sub(de.signalAt)), zap.Duration("cut", time.Since(de.signalAt)),
-		zap.Duration("deadline", rq.Deadline.Sub(de.signalAt)), zap.Duration("expected", expected),
+		zap.Duration("arrived", rq.Arrived.Sub(de.SignalAt)), zap.Duration("cut", time.Since(de.SignalAt)),
+		zap.Duration("deadline", rq.Deadline.Sub(de.SignalAt)), zap.Duration("expected", expected),
 		zap.Bool("began", !ru.beganAt.IsZero()), zap.String("server", string(ru.last.Server.ID)),
 		zap.Int64("server_bytes", int64(ru.received)), zap.String("server_event", ru.lastEvent),
 		zap.Int64("caller_bytes", int64(delivered)), zap.String("caller_event", ru.delivered))
--- a/internal/edge/relay/leave_test.go
+++ b/internal/edge/relay/leave_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"lycheepick/internal/edge/relay"
+	"lycheepick/internal/rule/admit"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/state/routes"
 )
@@ -44,7 +45,7 @@
 		rl.Log = zap.New(core)
 		go func() {
 			time.Sleep(2 * time.Second)
-			rl.Drain(time.Now(), time.Now().Add(time.Second))
+			rl.Drain(admit.Departure{SignalAt: time.Now(), StopsAt: time.Now().Add(time.Second)})
 			time.Sleep(time.Second)
 			rl.Stop()
 		}()
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -252,7 +252,7 @@
 	// requests are those in progress.
 	requests intake.Intake
 	// departure is nil while the node isn't leaving. stopping ends as it stops, by stop.
-	departure atomic.Pointer[departure]
+	departure atomic.Pointer[admit.Departure]
 	stopping  context.Context
 	stop      context.CancelFunc
 	// syncedAt is when the list of servers last matched the store, in Unix nanoseconds.
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"lycheepick/internal/edge/relay"
+	"lycheepick/internal/rule/admit"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/pool"
 	"lycheepick/internal/rule/units"
@@ -106,25 +107,29 @@
 }
 
 // TestLeavingNodeRefusesLateStreams checks that a draining node rejects, with a time to
-// retry after, requests that could not complete before its exit. In trouble-2 of
+// retry after, requests that could still be in progress at its exit. In trouble-2 of
 // bvid-lycheepick, a stream accepted 5 s after the stop signal was cut off by the exit (LOST).
 func TestLeavingNodeRefusesLateStreams(t *testing.T) {
 	for _, tt := range []struct {
-		name  string
-		route routes.Route
-		since time.Duration
-		sends int
+		name         string
+		route        routes.Route
+		since, waits time.Duration
+		sends        int
 	}{
-		{"a stream soon after the signal", routes.Route{Stream: true}, time.Second, 1},
-		{"a late stream", routes.Route{Stream: true}, 5 * time.Second, 0},
-		{"another request at the same time", routes.Route{}, 5 * time.Second, 1},
-		{"another request shortly before the exit", routes.Route{}, 7 * time.Second, 0},
+		{"a stream soon after the signal", routes.Route{Stream: true}, time.Second, 5 * time.Second, 1},
+		{"a late stream", routes.Route{Stream: true}, 5 * time.Second, 5 * time.Second, 0},
+		{"a late stream that has to end soon", routes.Route{Stream: true}, 5 * time.Second, 2 * time.Second, 1},
+		{"another request at the same time", routes.Route{}, 5 * time.Second, 5 * time.Second, 0},
+		{"another request that has to end soon", routes.Route{}, 5 * time.Second, 2 * time.Second, 1},
+		{"another request shortly before the exit", routes.Route{}, 7 * time.Second, 2 * time.Second, 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			rl, ex, si := newRelay(1), &exchange{replies: []*relay.Reply{serverFailure()}}, &sink{}
 			signalAt := time.Now().Add(-tt.since)
-			rl.Drain(signalAt, signalAt.Add(7500*time.Millisecond)) // A grace of 8 s.
-			rl.Serve(context.Background(), request(tt.route), ex, si)
+			rl.Drain(admit.Departure{SignalAt: signalAt, StopsAt: signalAt.Add(7500 * time.Millisecond)}) // A grace of 8 s.
+			rq := request(tt.route)
+			rq.Deadline = rq.Arrived.Add(tt.waits)
+			rl.Serve(context.Background(), rq, ex, si)
 			if ex.sends != tt.sends {
 				t.Fatalf("sends: have %d, want %d", ex.sends, tt.sends)
 			}
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -388,6 +388,8 @@
 	case fault.Is(err, KindCallerGone):
 		ru.rl.Counts.Gone.Add(1)
 		ru.log("caller_gone", err.Error(), 0)
+	case state == answer.NotRun && ru.rl.outlastsNode(ru.rq):
+		ru.rl.refuseLeaving(ru.rq, ru.sink)
 	case state == answer.NotRun && fault.Is(err, KindBlocked):
 		bl, _ := ru.rl.blocked(ru.keys)
 		ru.rl.Counts.Blocked.Add(1)
@@ -410,6 +412,9 @@
 	if ctx.Err() != nil || time.Until(ru.rq.Deadline) < minRetryTime || fault.Is(err, KindCallerGone) || fault.Is(err, KindDeadline) {
 		return false
 	}
+	if ru.machine.HasNotRun() && ru.rl.outlastsNode(ru.rq) {
+		return false
+	}
 	if ru.passed || ru.trial || ru.isBlocked() || ru.refusal != nil || fault.Is(err, KindNoDetour) {
 		return false
 	}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -23,6 +23,7 @@
 	"lycheepick/internal/node/config"
 	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/plat/stream"
+	"lycheepick/internal/rule/admit"
 	"lycheepick/internal/rule/clock"
 	"lycheepick/internal/rule/detour"
 	"lycheepick/internal/rule/fault"
@@ -301,13 +302,13 @@
 	balancerDelay = 3 * time.Second
 )
 
-// leave reports the node as not ready to the balancer and waits for the requests in progress. It takes requests
-// until none is in progress.
+// leave reports the node as not ready to the balancer and waits for the requests in progress. Until none is in
+// progress it takes those that end before the node does.
 func (no *Node) leave(work context.Context) {
 	no.leaving.Store(true)
 	began := time.Now()
 	stopsAt := began.Add(no.settings.Timing.Grace() - killMargin)
-	no.relay.Drain(began, stopsAt)
+	no.relay.Drain(admit.Departure{SignalAt: began, StopsAt: stopsAt})
 	no.log.Info("node_leaving")
 	ctx, cancel := context.WithDeadline(work, stopsAt)
 	defer cancel()
--- a/internal/rule/admit/grace.go
+++ b/internal/rule/admit/grace.go
@@ -19,10 +19,6 @@
 	// been seen to end.
 	unknownDuration = time.Second
 	unknownStream   = 4 * time.Second
-	// graceMargin is the share of the expected time that is added when a node leaves, and minGraceMargin
-	// the least.
-	graceMargin    = 0.25
-	minGraceMargin = 150 * time.Millisecond
 )
 
 // Observe records how long a request took.
@@ -47,10 +43,14 @@
 	return unknownDuration
 }
 
-// EndsWithin reports whether a request that comes now is expected to end within left: it is answered by
-// its deadline at the latest, in remaining.
-func (du *Durations) EndsWithin(stream bool, left, remaining time.Duration) bool {
-	expected := du.Expected(stream)
-	expected += max(time.Duration(graceMargin*float64(expected)), minGraceMargin)
-	return min(expected, remaining+minGraceMargin) <= left
+// Departure is the end of a node that has been told to stop.
+type Departure struct {
+	// SignalAt is when the node was told to stop, StopsAt when it ends what is still in progress.
+	SignalAt, StopsAt time.Time
+}
+
+// Outlasts reports whether a request may still be in progress when the node stops. Only its deadline bounds it:
+// servers may become slower after it was taken.
+func (de *Departure) Outlasts(deadline time.Time) bool {
+	return de != nil && deadline.After(de.StopsAt)
 }
--- a/internal/rule/admit/grace_test.go
+++ b/internal/rule/admit/grace_test.go
@@ -7,39 +7,55 @@
 	"lycheepick/internal/rule/admit"
 )
 
-// TestEndsWithinGrace checks which requests a leaving node may take.
-func TestEndsWithinGrace(t *testing.T) {
+// TestOutlastsNode checks which requests a leaving node may take: those whose deadline, and not only their usual end,
+// comes before the node stops.
+func TestOutlastsNode(t *testing.T) {
 	const second = time.Second
+	now := time.Now()
+	leaves := func(left time.Duration) *admit.Departure {
+		return &admit.Departure{SignalAt: now, StopsAt: now.Add(left)}
+	}
+	for _, tt := range []struct {
+		name      string
+		departure *admit.Departure
+		remaining time.Duration
+		want      bool
+	}{
+		{"the node doesn't leave", nil, time.Hour, false},
+		{"the deadline comes first", leaves(2 * second), second, false},
+		{"both at once", leaves(second), second, false},
+		{"the node stops first", leaves(second), second + time.Millisecond, true},
+		{"long before the deadline", leaves(second), 6 * second, true},
+		{"no grace", leaves(0), 8 * second, true},
+		{"past the deadline", leaves(second), -second, false},
+		{"past the stop", leaves(-second), second, true},
+	} {
+		if have := tt.departure.Outlasts(now.Add(tt.remaining)); have != tt.want {
+			t.Errorf("%s: have %t, want %t", tt.name, have, tt.want)
+		}
+	}
+}
+
+// TestExpectedDuration checks the time within which nearly all requests of a route have ended.
+func TestExpectedDuration(t *testing.T) {
+	const ms = time.Millisecond
 	for _, tt := range []struct {
-		name            string
-		took            []time.Duration
-		left, remaining time.Duration
-		want            bool
-		stream          bool
+		name     string
+		took     []time.Duration
+		stream   bool
+		from, to time.Duration
 	}{
-		{"short ones", []time.Duration{300, 300, 300}, second, 6 * second, true, false},
-		{"short ones, nothing left", []time.Duration{300, 300, 300}, 300 * time.Millisecond, 6 * second, false, false},
-		{"long ones", []time.Duration{4000, 4000, 4000}, 4 * second, 8 * second, false, false},
-		{"long ones, a long grace", []time.Duration{4000, 4000, 4000}, 12 * second, 8 * second, true, false},
-		{"long ones with a short deadline", []time.Duration{4000, 4000, 4000}, 2 * second, second, true, false},
-		{"one is late", []time.Duration{100, 100, 100, 100, 3000}, 2 * second, 8 * second, false, false},
-		{"not known", nil, 3 * second, 8 * second, true, false},
-		{"not known, little left", nil, second, 8 * second, false, false},
-		{"no grace", nil, 0, 8 * second, false, false},
-		{"streams that are not known", nil, 3 * second, 8 * second, false, true},
-		{"past the deadline", []time.Duration{4000}, second, -second, true, false},
+		{"short ones", []time.Duration{300 * ms, 300 * ms, 300 * ms}, false, 300 * ms, 450 * ms},
+		{"one is late", []time.Duration{100 * ms, 100 * ms, 100 * ms, 100 * ms, 3 * time.Second}, false, 3 * time.Second, 6 * time.Second},
+		{"not known", nil, false, time.Second, time.Second},
+		{"streams that are not known", nil, true, 4 * time.Second, 4 * time.Second},
 	} {
 		var du admit.Durations
-		for _, ms := range tt.took {
-			for range 20 {
-				du.Observe(ms * time.Millisecond)
-				if len(tt.took) > 4 {
-					break
-				}
-			}
+		for _, took := range tt.took {
+			du.Observe(took)
 		}
-		if have := du.EndsWithin(tt.stream, tt.left, tt.remaining); have != tt.want {
-			t.Errorf("%s: have %t, want %t, expected %s", tt.name, have, tt.want, du.Expected(tt.stream))
+		if have := du.Expected(tt.stream); have < tt.from || have > tt.to {
+			t.Errorf("%s: have %s, want %s to %s", tt.name, have, tt.from, tt.to)
 		}
 	}
 }
--- a/internal/state/answer/answer.go
+++ b/internal/state/answer/answer.go
@@ -169,6 +169,9 @@
 	}
 }
 
+// HasNotRun reports whether no attempt is in progress and none can have run the request.
+func (ma *Machine) HasNotRun() bool { return !ma.active && !ma.mayHaveRun }
+
 // Supersede ends attempt att in favour of a planned next one, which does not count
 // towards the maximum number of attempts.
 func (ma *Machine) Supersede(att units.AttemptID) {
