entry: what a leaving node can't finish costs callers less

Most came on kept connections, which were left open for 2.5 s, and to nodes that waited 3 s though the balancer had taken them out.

A node that is told to stop closes idle connections after 0.1 s, so that their callers' next requests go where the balancer sends them, and ends as soon as two readiness checks have failed and nothing is in progress.

--- a/internal/edge/door/door.go
+++ b/internal/edge/door/door.go
@@ -71,9 +71,9 @@
 	writeTimeout = 5 * time.Second
 	// busyRetryAfter is when the caller of a request may come back for whose body there is no memory.
 	busyRetryAfter = 500 * time.Millisecond
-	// idleCloseDelay is how long a draining server keeps idle connections open. The load
-	// balancer needs two health checks, a second apart, to stop sending requests here.
-	idleCloseDelay = 2500 * time.Millisecond
+	// idleCloseDelay is how long a draining server keeps idle connections open, for requests that are on
+	// their way.
+	idleCloseDelay = 100 * time.Millisecond
 )
 
 // Server is the HTTP server. Set its fields before Serve.
@@ -124,12 +124,13 @@
 	}
 }
 
-// Drain makes the server close connections after their next response, and closes idle
-// ones after idleCloseDelay or when ctx ends.
+// Drain makes the server close connections after their next response, and idle ones after idleCloseDelay. Their
+// callers then open new ones, which the balancer can send elsewhere.
 func (sv *Server) Drain(ctx context.Context) {
 	sv.draining.Store(true)
-	pause.For(ctx, idleCloseDelay)
-	sv.closeIdle()
+	if pause.For(ctx, idleCloseDelay) {
+		sv.closeIdle()
+	}
 }
 
 // Close makes the server take no more connections, and no more requests once none is in progress, when the channel is
@@ -150,12 +151,14 @@
 	sv.closeIdle()
 }
 
-// closeIdle closes the connections that wait for their next request.
+// closeIdle closes the connections that wait for their next request. One that has arrived is still read.
 func (sv *Server) closeIdle() {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	for cn := range sv.idle {
-		_ = cn.Close()
+		if cn.unread() == 0 {
+			_ = cn.Close()
+		}
 	}
 }
 
--- a/internal/edge/door/link.go
+++ b/internal/edge/door/link.go
@@ -31,7 +31,13 @@
 }
 
 // unacknowledged returns what the kernel still has to send, or has sent and may have to send again.
-func (cn *conn) unacknowledged() (out units.Bytes) {
+func (cn *conn) unacknowledged() units.Bytes { return cn.queued(unix.TIOCOUTQ) }
+
+// unread returns what has arrived and was not read.
+func (cn *conn) unread() units.Bytes { return cn.queued(unix.TIOCINQ) }
+
+// queued returns the length of a queue of the kernel, 0 if it is not known.
+func (cn *conn) queued(which uint) (out units.Bytes) {
 	tc, ok := cn.Conn.(*net.TCPConn)
 	if !ok {
 		return 0
@@ -41,7 +47,7 @@
 		return 0
 	}
 	_ = raw.Control(func(fd uintptr) {
-		if num, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ); err == nil {
+		if num, err := unix.IoctlGetInt(int(fd), which); err == nil {
 			out = units.Bytes(num)
 		}
 	})
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -23,7 +23,6 @@
 	"lycheepick/internal/node/config"
 	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/plat/stream"
-	"lycheepick/internal/rule/admit"
 	"lycheepick/internal/rule/clock"
 	"lycheepick/internal/rule/detour"
 	"lycheepick/internal/rule/fault"
@@ -116,6 +115,7 @@
 	config        atomic.Pointer[activeConfig]
 	serversLoaded atomic.Bool // The list of servers has been loaded.
 	leaving       atomic.Bool
+	rotation      *rotation
 	isLeader      atomic.Bool // This node holds the lease.
 	// draining is the number of servers known to be draining.
 	draining atomic.Int64
@@ -171,7 +171,7 @@
 		usageBook: usage.NewCounter(set.Timing.UsageWindow()), clock: clock.New(),
 		offered: map[units.TargetID]pulse.Demand{}, peerWork: map[units.VMID]*peerWork{},
 	}
-	no.members = permit.NewMembers(set.VM.ID)
+	no.members, no.rotation = permit.NewMembers(set.VM.ID), newRotation()
 	no.peerClient = pulse.NewClient(&no.exchanges.traffic)
 	no.fetch.news, no.restored = make(chan struct{}, 1), make(chan struct{}, 1)
 	no.storeHealth.reads = map[int]context.CancelFunc{}
@@ -290,46 +290,6 @@
 	}
 }
 
-const (
-	// killMargin is how long before the end of the grace period, when the platform kills the
-	// process, a leaving node exits.
-	killMargin = 500 * time.Millisecond
-	// lastAnswers is the part of killMargin in which requests that are still in progress get their
-	// answers.
-	lastAnswers = 250 * time.Millisecond
-	// balancerDelay is how long the balancer may still send new connections after the node
-	// has reported that it is not ready.
-	balancerDelay = 3 * time.Second
-)
-
-// leave reports the node as not ready to the balancer and waits for the requests in progress. Until none is in
-// progress it takes those that end before the node does.
-func (no *Node) leave(work context.Context) {
-	no.leaving.Store(true)
-	began := time.Now()
-	stopsAt := began.Add(no.settings.Timing.Grace() - killMargin)
-	no.relay.Drain(admit.Departure{SignalAt: began, StopsAt: stopsAt})
-	no.log.Info("node_leaving")
-	ctx, cancel := context.WithDeadline(work, stopsAt)
-	defer cancel()
-	no.door.Drain(ctx)
-	pause.For(ctx, balancerDelay-time.Since(began))
-	await(ctx, no.relay.CloseAtIdle())
-	no.forwards.wait(ctx)
-	last, cancel := context.WithDeadline(work, stopsAt.Add(lastAnswers))
-	defer cancel()
-	await(last, no.relay.Stop())
-	no.forwards.wait(last)
-	await(last, no.door.Close())
-}
-
-func await(ctx context.Context, done <-chan struct{}) {
-	select {
-	case <-ctx.Done():
-	case <-done:
-	}
-}
-
 // tickPeriod is the interval at which state that depends on time alone is updated.
 const tickPeriod = 200 * time.Millisecond
 
--- a/internal/node/entry/ready.go
+++ b/internal/node/entry/ready.go
@@ -21,6 +21,9 @@
 			status = fasthttp.StatusServiceUnavailable
 		}
 		an.Refuse(status, "", 0)
+		if no.leaving.Load() {
+			no.rotation.checked(time.Now())
+		}
 	}}
 }
 
