entry: the grace is counted from before the signal was seen

A process that is stalled when it is told to stop counted its grace from when it went on, and was killed with requests that had no answer. The node now knows within 0.1 s when it was last running without the signal, and counts from then.

TestNodeSeesSignalLate: a real process is stopped, told to stop and continued 1.2 s later; a request that was in progress gets its 502 and the process ends before it would be killed.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -116,7 +116,9 @@
 	serversLoaded atomic.Bool // The list of servers has been loaded.
 	leaving       atomic.Bool
 	rotation      *rotation
-	isLeader      atomic.Bool // This node holds the lease.
+	// runningAt is the uptime at which the node last knew that it had not been told to stop.
+	runningAt atomic.Int64
+	isLeader  atomic.Bool // This node holds the lease.
 	// draining is the number of servers known to be draining.
 	draining atomic.Int64
 
@@ -267,6 +269,7 @@
 	wg.Go(func() { no.fetchConfigs(work) })
 	wg.Go(func() { no.origins.run(work) })
 	wg.Go(func() { no.tick(work) })
+	wg.Go(func() { no.watchSignal(ctx) })
 	wg.Go(func() { no.relay.WatchPaths(work) })
 	// Also without duties, as the record of the lease keeps the software versions for nodes that start.
 	no.relay.AwaitVersions()
--- a/internal/node/entry/leave.go
+++ b/internal/node/entry/leave.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"lycheepick/internal/edge/pause"
 	"lycheepick/internal/rule/admit"
 )
 
@@ -17,6 +18,9 @@
 	// lastAnswers is the part of killMargin in which requests that are still in progress get their
 	// answers.
 	lastAnswers = 250 * time.Millisecond
+	// signalCheckPeriod is half of how much earlier than the node saw it the stop signal is taken to have come at
+	// most, unless the process was stalled.
+	signalCheckPeriod = 50 * time.Millisecond
 	// balancerDelay is how long the balancer may still send new connections after the node
 	// has reported that it is not ready, if the node doesn't see its checks.
 	balancerDelay = 3 * time.Second
@@ -26,14 +30,24 @@
 	checkPeriod  = 900 * time.Millisecond
 )
 
+// watchSignal keeps runningAt until ctx ends. The process may see the signal late, as it is stalled or gets no
+// processor, but the platform kills it a grace period after it was sent. A check counts once the next one has found
+// no signal either, since the first one after a stall may come before the signal is seen.
+func (no *Node) watchSignal(ctx context.Context) {
+	for last := no.uptime(); pause.For(ctx, signalCheckPeriod); {
+		no.runningAt.Store(int64(last))
+		last = no.uptime()
+	}
+}
+
 // leave reports the node as not ready, waits until the balancer has taken it out and then for the requests in
 // progress. It takes only requests that end before the node does.
 func (no *Node) leave(work context.Context) {
 	no.leaving.Store(true)
-	signalAt := time.Now()
+	signalAt := no.start.Add(time.Duration(no.runningAt.Load()))
 	de := admit.Departure{SignalAt: signalAt, StopsAt: signalAt.Add(no.settings.Timing.Grace() - killMargin)}
 	no.relay.Drain(de)
-	no.log.Info("node_leaving", zap.Duration("left", time.Until(de.StopsAt)))
+	no.log.Info("node_leaving", zap.Duration("signal_age", time.Since(signalAt)), zap.Duration("left", time.Until(de.StopsAt)))
 	ctx, cancel := context.WithDeadline(work, de.StopsAt)
 	defer cancel()
 	no.door.Drain(ctx)
