--- a/internal/edge/door/drain_test.go
+++ b/internal/edge/door/drain_test.go
@@ -43,16 +43,17 @@
 	}
 }
 
-// exchange sends a request on a connection and reads the answer.
-func exchange(g *WithT, cn net.Conn) *http.Response {
+// exchange sends a request on a connection, reads the answer and reports whether the server closes after it.
+func exchange(g *WithT, cn net.Conn) (closes bool) {
 	_, err := io.WriteString(cn, get)
 	g.Expect(err).NotTo(HaveOccurred())
 	resp, err := http.ReadResponse(bufio.NewReader(cn), nil)
 	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(string(body)).To(Equal("whole"))
-	return resp
+	return resp.Close
 }
 
 // TestDrainClosesIdleConnections guards against kept connections that bring their callers' next requests to a
@@ -61,13 +62,13 @@
 	g := NewWithT(t)
 	sv, dial := serve(t, 0)
 	cn := dial()
-	g.Expect(exchange(g, cn).Close).To(BeFalse())
+	g.Expect(exchange(g, cn)).To(BeFalse())
 	began := time.Now()
 	sv.Drain(t.Context())
 	_, err := cn.Read(make([]byte, 1))
 	g.Expect(err).To(Equal(io.EOF))
 	g.Expect(time.Since(began)).To(BeNumerically("<", time.Second))
-	g.Expect(exchange(g, dial()).Close).To(BeTrue(), "a new connection is served, and closed after its response")
+	g.Expect(exchange(g, dial())).To(BeTrue(), "a new connection is served, and closed after its response")
 }
 
 // TestDrainServesWhatIsOnItsWay guards against a connection that is closed with a request unread.
--- a/internal/edge/intake/intake_test.go
+++ b/internal/edge/intake/intake_test.go
@@ -49,8 +49,10 @@
 // be closed again.
 func TestCloseWaitsForRequests(t *testing.T) {
 	var in intake.Intake
-	if !in.Enter() || !in.Enter() {
-		t.Fatal("an open intake takes no request")
+	for range 2 {
+		if !in.Enter() {
+			t.Fatal("an open intake takes no request")
+		}
 	}
 	idle := in.Close()
 	if in.Enter() {
