entry: requests have their answers also if the node stops at once

Callers' connections ended without an answer: with a grace of 0.3 s, or a signal that is seen that late, the time for last answers was over before relay.Stop was called. The end of the work then cancelled the requests first, which counts as a caller that has gone. Since the grace is counted from before the signal was seen this is always so at 0.3 s.

The node now leaves at least half of the usual time for last answers.

--- a/internal/node/entry/leave.go
+++ b/internal/node/entry/leave.go
@@ -16,8 +16,9 @@
 	// process, a leaving node exits.
 	killMargin = 500 * time.Millisecond
 	// lastAnswers is the part of killMargin in which requests that are still in progress get their
-	// answers.
-	lastAnswers = 250 * time.Millisecond
+	// answers, at least minLastAnswers if the node stops at once.
+	lastAnswers    = 250 * time.Millisecond
+	minLastAnswers = lastAnswers / 2
 	// signalCheckPeriod is half of how much earlier than the node saw it the stop signal is taken to have come at
 	// most, unless the process was stalled.
 	signalCheckPeriod = 50 * time.Millisecond
@@ -54,7 +55,7 @@
 	no.rotation.awaitOut(ctx)
 	await(ctx, no.relay.CloseAtIdle())
 	no.forwards.wait(ctx)
-	last, cancel := context.WithDeadline(work, de.StopsAt.Add(lastAnswers))
+	last, cancel := context.WithTimeout(work, max(minLastAnswers, time.Until(de.StopsAt.Add(lastAnswers))))
 	defer cancel()
 	await(last, no.relay.Stop())
 	no.forwards.wait(last)
