entry: a request that a leaving peer has taken goes to another

A request that goes through another node got 503 "this node is leaving" where that node was told to stop between its accept and the commit of the offer: the forwarding node passed the refusal on, though other peers serve the request.

The refusal now says that its node is leaving, and the forwarding node asks the next peer at once. It does so only if the refusal says as well that the request has not run. Nodes of older builds neither send nor read the new field.

"It may have run" (502, no other peer asked) passed before too and guards the rest.

--- a/internal/node/entry/forward.go
+++ b/internal/node/entry/forward.go
@@ -127,6 +127,9 @@
 		return nil, err
 	}
 	rp, err := receiveReply(fs, done)
+	if fault.Is(err, KindDeclined) {
+		fo.noteOffer(to.Node, fw.Service, fw.Config, &pulse.Refusal{}, err)
+	}
 	if err != nil {
 		done()
 	}
@@ -208,7 +211,8 @@
 	return fs, nil, fault.Wrap(op, KindForward, fs.Send(pulse.FrameCommit, nil))
 }
 
-// receiveReply reads the header of the response. The reply's Close calls done.
+// receiveReply reads the header of the response. The reply's Close calls done. The error is of KindDeclined if the
+// peer is leaving and has not run the request.
 func receiveReply(fs *pulse.FrameStream, done func()) (*relay.Reply, error) {
 	const op = "entry.receiveReply"
 	fr, err := fs.Receive()
@@ -220,6 +224,9 @@
 		if err := fr.Decode(pulse.FrameRefusal, &re); err != nil {
 			return nil, fault.Wrap(op, KindForward, err)
 		}
+		if re.NotRun && re.Leaving {
+			return nil, fault.New(op, KindDeclined, "the peer has not run it: %s", re.Reason)
+		}
 		return &relay.Reply{Close: done, Refusal: &relay.Refusal{Status: re.Status, Reason: re.Reason, RetryAfter: re.RetryAfter, NotRun: re.NotRun}}, nil
 	}
 	var head pulse.Head
@@ -285,7 +292,8 @@
 		return
 	}
 	sink := &forwardSink{fs: fs}
-	sink.finish(serve(ctx, sink))
+	state := serve(ctx, sink)
+	sink.finish(state, no.leaving.Load())
 }
 
 // wait returns when no request of a peer is in progress, or when ctx ends.
@@ -427,12 +435,13 @@
 // Status implements relay.Sink.
 func (si *forwardSink) Status() int { return si.status }
 
-// finish ends a request that has no whole response.
-func (si *forwardSink) finish(st answer.State) {
+// finish ends a request that has no whole response. leaving tells whether this node is leaving.
+func (si *forwardSink) finish(st answer.State, leaving bool) {
 	if si.refusal == nil {
 		return
 	}
 	si.refusal.NotRun = st == answer.NotRun
+	si.refusal.Leaving = leaving && si.refusal.NotRun
 	// The error is ignored: the peer is gone.
 	_ = si.fs.SendJSON(pulse.FrameRefusal, si.refusal)
 }
--- a/internal/node/entry/forward_test.go
+++ b/internal/node/entry/forward_test.go
@@ -267,3 +267,64 @@
 	}
 	rp.Close()
 }
+
+// TestForwardToLeavingPeer guards against requests that are refused since the peer which has taken them is told to
+// stop before it runs them, though another peer serves them.
+func TestForwardToLeavingPeer(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		state  answer.State
+		status int
+		// other is how often the other peer runs the request.
+		other int64
+	}{
+		{"it has not run", answer.NotRun, fasthttp.StatusServiceUnavailable, 1},
+		{"it may have run", answer.Unknown, fasthttp.StatusBadGateway, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			leaver := newForwardNode()
+			leaver.forwards.handler = func(*relay.Forward) (ServeForwarded, error) {
+				return func(_ context.Context, sink relay.ServedSink) answer.State {
+					leaver.leaving.Store(true)
+					sink.Refuse(tt.status, "this node is leaving", time.Second)
+					return tt.state
+				}, nil
+			}
+			no := newForwardTest(t, leaver.Forward)
+			var runs atomic.Int64
+			other := newForwardTest(t, func(ctx context.Context, fs *pulse.FrameStream) {
+				runs.Add(1)
+				answerOffer(ctx, fs)
+			})
+			no.addPeer(pulse.Peer{Node: "other", Address: other.peers["peer"].address}).forwards = true
+			no.forwards.nodes.Declined(time.Now(), "other", "app") // So that the leaver is asked first.
+			began := time.Now()
+			rp, err := no.forwards.Forward(t.Context(), &relay.Forward{ID: "r", Service: "app", Deadline: began.Add(5 * time.Second)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer rp.Close()
+			if took := time.Since(began); took > acceptTimeout {
+				t.Errorf("took %s, want %s at most", took, acceptTimeout)
+			}
+			if runs.Load() != tt.other {
+				t.Errorf("the other peer got it %d times, want %d", runs.Load(), tt.other)
+			}
+			if tt.other == 0 {
+				if rp.Refusal == nil || rp.Refusal.Status != tt.status || rp.Refusal.NotRun {
+					t.Errorf("have %+v, want a refusal with %d", rp.Refusal, tt.status)
+				}
+				return
+			}
+			if rp.Refusal != nil {
+				t.Fatalf("have %+v, want an answer", rp.Refusal)
+			}
+			if body, err := io.ReadAll(rp.Body); err != nil || string(body) != "0123456789" {
+				t.Errorf("have %q and error %v", body, err)
+			}
+			if good := no.forwards.hints("app"); len(good) != 1 || good[0] != "other" {
+				t.Errorf("have %v as nodes that take requests", good)
+			}
+		})
+	}
+}
--- a/internal/peer/pulse/forward.go
+++ b/internal/peer/pulse/forward.go
@@ -89,6 +89,9 @@
 	// Config is the version in force at a peer that declined since it doesn't allow the request. Nodes
 	// up to version 0.4 don't send it.
 	Config units.Version `json:"config,omitempty"`
+	// Leaving is set if the peer took a request and has not run it since it is leaving. Nodes up to version 0.4
+	// don't send it.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // frameEncoding implements drpc.Encoding for frames.
