relay: a leaving node begins no attempt that it may not finish

A request that came before the stop signal and was waiting then (for a permit, a trial, a connection, the state of the path, or a peer) was sent to a server after the signal although it might outlast the node, and was cut if it did. The node checked the deadline when it took a request and before a retry, not before it sent one.

The check is now made when a server is chosen, right before the bytes are sent, before a request goes through another node and right before an offer to one is committed. What has not run gets 503 "this node is leaving" with a short time to come back. What may have run is still repeated where that is allowed, as a refusal would not be true.

--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -44,8 +44,8 @@
 }
 
 // attempt sends the request to one server and forwards the response. It returns nil once
-// the caller has the complete response.
-func (ru *run) attempt(ctx context.Context, pi *picked) error {
+// the caller has the complete response. The request is not sent once withheld returns true.
+func (ru *run) attempt(ctx context.Context, pi *picked, withheld func() bool) error {
 	const op = "relay.attempt"
 	callerCtx := ctx
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -70,7 +70,7 @@
 		Leaving: func() bool { return ru.rl.isLeaving(&pi.Server) },
 		Limited: func() bool { return !pi.limited && ru.rl.isLimited(&pi.Server) },
 		Resting: func() bool { return ru.rl.isResting(&pi.Server) },
-		Blocked: ru.isBlocked, Dial: pi.dial, OpenOnly: pi.openOnly,
+		Blocked: func() bool { return ru.isBlocked() || withheld() }, Dial: pi.dial, OpenOnly: pi.openOnly,
 		Late: func(rp *Reply) { ru.rl.heardLate(ru.rq.Service, pi, rp) }, LateUntil: ru.rl.stopping,
 	})
 	if err != nil {
--- a/internal/edge/relay/detour.go
+++ b/internal/edge/relay/detour.go
@@ -44,6 +44,9 @@
 	Version   *units.SoftwareVersion
 	// Counted is set if the request is in the demand of the node that forwards it.
 	Counted bool
+	// Withheld reports whether the request must not be sent any more, since this node is leaving. It has to be
+	// checked right before the other node may run it, where it is nil.
+	Withheld func() bool
 }
 
 // Refusal is the end of a forwarded request without a response.
@@ -283,8 +286,8 @@
 	return pa.State() == detour.Cut && (ru.noOpen || !pa.UsesOpenConnections())
 }
 
-// forward sends the request through another node and forwards the response.
-func (ru *run) forward(ctx context.Context, runs int) error {
+// forward sends the request through another node, unless withheld returns true, and forwards the response.
+func (ru *run) forward(ctx context.Context, runs int, withheld func() bool) error {
 	const op = "relay.forward"
 	rq, callerCtx := ru.rq, ctx
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -302,6 +305,7 @@
 	rp, err := ru.rl.Detours.Forward(ctx, &Forward{
 		ID: rq.ID, Config: rq.Config, Service: rq.Service, Header: header, Body: body, Arrived: rq.Arrived, Deadline: rq.Deadline,
 		Attempts: attempts, LastEvent: ru.lastEvent, Version: ru.ask.Version, Counted: ru.counted,
+		Withheld: withheld,
 	})
 	if err != nil {
 		return ru.why(callerCtx, ctx, err)
--- a/internal/edge/relay/detour_test.go
+++ b/internal/edge/relay/detour_test.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lycheepick/internal/edge/relay"
+	"lycheepick/internal/rule/admit"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/notice"
 	"lycheepick/internal/rule/permit"
@@ -116,3 +117,29 @@
 		t.Errorf("have %d nodes asked, state %s and status %d, want none, not_run and 503", de.count, state, si.status)
 	}
 }
+
+// leavingDetours is a node that is told to stop while it offers a request to another one.
+type leavingDetours struct {
+	rl       *relay.Relay
+	withheld bool
+}
+
+func (ld *leavingDetours) Forward(_ context.Context, fw *relay.Forward) (*relay.Reply, error) {
+	before, now := fw.Withheld(), time.Now()
+	ld.rl.Drain(admit.Departure{SignalAt: now, StopsAt: now.Add(time.Second)})
+	ld.withheld = !before && fw.Withheld()
+	return nil, fault.New("test", relay.KindNoDetour, "withheld")
+}
+
+// TestLeavingNodeWithholdsDetours guards against requests that a node has another one run, though it may stop before it has
+// passed the answer on.
+func TestLeavingNodeWithholdsDetours(t *testing.T) {
+	ld := &leavingDetours{}
+	rl, si := newCutRelay(t, &detours{err: fault.New("test", relay.KindNoDetour, "none")}), &sink{}
+	rl.Detours, ld.rl = ld, rl
+	ex := &exchange{replies: []*relay.Reply{serverFailure()}}
+	rl.Serve(t.Context(), request(routes.Route{}), rawExchange{ex}, si)
+	if !ld.withheld || si.status != fasthttp.StatusServiceUnavailable || si.after > 100*time.Millisecond || ex.sends > 0 {
+		t.Errorf("have withheld %t, status %d, retry after %s, %d sends; want true, 503, at once and none", ld.withheld, si.status, si.after, ex.sends)
+	}
+}
--- a/internal/edge/relay/leave.go
+++ b/internal/edge/relay/leave.go
@@ -29,6 +29,23 @@
 // outlastsNode reports whether the node leaves and may stop before the request has ended.
 func (rl *Relay) outlastsNode(rq *Request) bool { return rl.departure.Load().Outlasts(rq.Deadline) }
 
+// belongsElsewhere reports whether another node has to serve the request: this one may stop before it has ended, and it
+// has not run.
+func (ru *run) belongsElsewhere() bool { return ru.machine.HasNotRun() && ru.rl.outlastsNode(ru.rq) }
+
+// leave ends a request that belongs elsewhere.
+func (ru *run) leave() {
+	ru.machine.Abort()
+	ru.rl.refuseLeaving(ru.rq, ru.sink)
+}
+
+// withheld returns a function that reports, while an attempt is in progress, whether the request belonged elsewhere
+// without it.
+func (ru *run) withheld() func() bool {
+	hasNotRun := ru.machine.HasNotRun()
+	return func() bool { return hasNotRun && ru.rl.outlastsNode(ru.rq) }
+}
+
 // enter takes a request, for which requests.Leave has to be called at its end. If another node has to serve it,
 // enter refuses it and returns false.
 func (rl *Relay) enter(rq *Request, sink Sink) bool {
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -123,8 +123,8 @@
 	// cut. With OpenOnly the request goes out on an open connection or not at all.
 	Dial     context.Context
 	OpenOnly bool
-	// Blocked reports whether the request has come to be one that is refused. It has to be checked
-	// right before the request is sent.
+	// Blocked reports whether the request has come to be one that is refused, or that another node has to serve. It
+	// has to be checked right before the request is sent.
 	Blocked func() bool
 	// Late is called with a response whose head comes shortly after the attempt has been cancelled, unless
 	// LateUntil has ended. Its body is not read.
--- a/internal/edge/relay/serve.go
+++ b/internal/edge/relay/serve.go
@@ -203,10 +203,15 @@
 	if ru.sends > 0 {
 		ru.awaitPath(ctx)
 	}
+	withheld := ru.withheld()
 	if ru.takesDetour() {
+		if ru.belongsElsewhere() {
+			ru.leave()
+			return false, nil
+		}
 		att, _ := ru.machine.Dispatch()
 		ru.sends++
-		err := ru.forward(ctx, runs)
+		err := ru.forward(ctx, runs, withheld)
 		ru.settleForward(att, err)
 		return true, err
 	}
@@ -216,7 +221,7 @@
 	}
 	att, _ := ru.machine.Dispatch()
 	ru.sends++
-	err = ru.attempt(ctx, &pi)
+	err = ru.attempt(ctx, &pi, withheld)
 	if err != nil {
 		ru.rl.pathFailed(ru.rq.Service, &pi, err)
 	}
@@ -237,7 +242,7 @@
 func (ru *run) pick(ctx context.Context) (picked, bool) {
 	ru.asks = 0
 	pi, found, sent, after := ru.tryPick()
-	for !sent && (ru.acquire(ctx, &pi.Choice, found) || !found && ru.awaitTrial(ctx)) {
+	for !sent && !ru.belongsElsewhere() && (ru.acquire(ctx, &pi.Choice, found) || !found && ru.awaitTrial(ctx)) {
 		pi, found, sent, after = ru.tryPick()
 	}
 	rq := ru.rq
@@ -253,6 +258,8 @@
 	case sent:
 		ru.last = pi
 		return pi, true
+	case ru.belongsElsewhere():
+		ru.leave()
 	case found:
 		ru.rl.Counts.Overload.Add(1)
 		ru.rl.Meter.RecordLate(rq.Service)
@@ -284,7 +291,7 @@
 	now := time.Now()
 	rq := ru.rq
 	pi, found, sent = ru.rl.choose(now, rq.Service, &ru.ask, func(ch *place.Choice) bool {
-		if ch.Held != nil && ru.asks == 0 {
+		if ch.Held != nil && ru.asks == 0 || ru.belongsElsewhere() {
 			return false
 		}
 		if ru.sends > 0 {
@@ -412,7 +419,7 @@
 	if ctx.Err() != nil || time.Until(ru.rq.Deadline) < minRetryTime || fault.Is(err, KindCallerGone) || fault.Is(err, KindDeadline) {
 		return false
 	}
-	if ru.machine.HasNotRun() && ru.rl.outlastsNode(ru.rq) {
+	if ru.belongsElsewhere() {
 		return false
 	}
 	if ru.passed || ru.trial || ru.isBlocked() || ru.refusal != nil || fault.Is(err, KindNoDetour) {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -52,6 +52,8 @@
 	// KindOfferCut marks a request whose offer to a peer ended with its connection, so that the peer has not
 	// taken it.
 	KindOfferCut Kind = "offer_cut"
+	// KindWithheld marks a request that a peer has taken, and that was not committed.
+	KindWithheld Kind = "withheld"
 	// KindIssuer marks a node that gave no permits, since it can't be reached or takes another
 	// node for their issuer.
 	KindIssuer Kind = "issuer"
--- a/internal/node/entry/forward.go
+++ b/internal/node/entry/forward.go
@@ -86,7 +86,7 @@
 	asked, last := map[units.VMID]bool{}, fault.New(op, KindForward, "none is known to")
 	for range maxForwardTries {
 		to, ok := fo.choose(fw.Service, asked)
-		if !ok || ctx.Err() != nil {
+		if !ok || ctx.Err() != nil || fw.Withheld != nil && fw.Withheld() {
 			break
 		}
 		asked[to.Node] = true
@@ -116,7 +116,7 @@
 	for num := 1; num < maxCutOffers && fault.Is(err, KindOfferCut) && time.Since(began) < acceptTimeout && pause.For(ctx, time.Duration(num)*cutOfferPause); num++ {
 		fs, declined, err = fo.offer(ctx, cancel, to, fw)
 	}
-	if callerCtx.Err() == nil { // Otherwise it was not the peer that ended it.
+	if callerCtx.Err() == nil && !fault.Is(err, KindWithheld) { // Otherwise it was not the peer that ended it.
 		fo.noteOffer(to.Node, fw.Service, fw.Config, declined, err)
 	}
 	if declined != nil {
@@ -208,6 +208,9 @@
 	if !tm.Stop() {
 		return nil, nil, fault.New(op, KindDeclined, "%s took longer than %s", to.Node, acceptTimeout)
 	}
+	if fw.Withheld != nil && fw.Withheld() {
+		return nil, nil, fault.New(op, KindWithheld, "the request is not sent any more")
+	}
 	return fs, nil, fault.Wrap(op, KindForward, fs.Send(pulse.FrameCommit, nil))
 }
 
--- a/internal/node/entry/forward_test.go
+++ b/internal/node/entry/forward_test.go
@@ -328,3 +328,24 @@
 		})
 	}
 }
+
+// TestWithheldRequestIsNotCommitted guards against a request that another node runs though the one which has to pass its
+// answer on was told to stop while it was offered.
+func TestWithheldRequestIsNotCommitted(t *testing.T) {
+	var leaving atomic.Bool
+	commits := make(chan error, 1)
+	no := newForwardTest(t, func(_ context.Context, fs *pulse.FrameStream) {
+		_, _ = fs.Receive()
+		leaving.Store(true)
+		_ = fs.Send(pulse.FrameAccept, nil)
+		_, err := fs.Receive()
+		commits <- err
+	})
+	_, err := no.forwards.Forward(t.Context(), &relay.Forward{ID: "r", Service: "app", Deadline: time.Now().Add(5 * time.Second), Withheld: leaving.Load})
+	if !fault.Is(err, relay.KindNoDetour) {
+		t.Errorf("have error %v, want one of kind %s", err, relay.KindNoDetour)
+	}
+	if <-commits == nil {
+		t.Error("the request was committed")
+	}
+}
