entry: a check answered with 200 is not counted as missed

A readiness check whose answer was decided before the node was told to stop could count towards the balancer's two misses.

--- a/internal/node/entry/ready.go
+++ b/internal/node/entry/ready.go
@@ -21,7 +21,7 @@
 			status = fasthttp.StatusServiceUnavailable
 		}
 		an.Refuse(status, "", 0)
-		if no.leaving.Load() {
+		if status != fasthttp.StatusOK && no.leaving.Load() {
 			no.rotation.checked(time.Now())
 		}
 	}}
