door: a draining server answers requests that have arrived behind another

A caller that pipelines got "Connection: close" and the end of the connection after the response to its first request, though the server had read the next one from the socket already, in part or as a whole.

Whether a connection closes after a response is now decided as the response begins, and it stays open if bytes of another request have arrived. The requests that have arrived on a connection are served under one entry of the intake, so that the server doesn't stop taking requests between them.

A request that is sent behind a response that has begun still finds the connection closed after that response.

--- a/internal/edge/door/answer.go
+++ b/internal/edge/door/answer.go
@@ -17,8 +17,10 @@
 type Answer struct {
 	cn *conn
 	wr *bufio.Writer
-	// close is set if the connection is closed after this response.
-	close bool
+	// close is set if the connection is closed after this response. isLast tells as a response begins whether
+	// it is.
+	close  bool
+	isLast func(*conn) bool
 	// unchunked is set for HTTP/1.0 callers, which don't support chunked encoding, and
 	// headOnly for HEAD requests.
 	unchunked, headOnly bool
@@ -135,7 +137,7 @@
 func (an *Answer) begin(hd *fasthttp.ResponseHeader) error {
 	an.started, an.status = true, hd.StatusCode()
 	_ = an.cn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if an.close {
+	if an.close = an.close || an.isLast(an.cn); an.close {
 		hd.SetConnectionClose()
 	}
 	an.wr = writers.Get().(*bufio.Writer)
--- a/internal/edge/door/door.go
+++ b/internal/edge/door/door.go
@@ -193,34 +193,41 @@
 	defer func() { _ = cn.Close() }()
 	setUserTimeout(cn.Conn)
 	for ctx.Err() == nil {
-		lim := sv.Limits()
 		if !sv.setIdle(cn, true) {
 			return
 		}
-		ok := cn.awaitRequest(lim.IdleTimeout)
+		ok := cn.awaitRequest(sv.Limits().IdleTimeout)
 		sv.setIdle(cn, false)
-		if !ok {
-			return
-		}
-		if !sv.serveOne(ctx, cn, lim) {
+		if !ok || !sv.serveArrived(ctx, cn) {
 			return
 		}
 	}
 }
 
-// serveOne reads and serves one request. It returns false if the connection must be
-// closed.
-func (sv *Server) serveOne(ctx context.Context, cn *conn, lim Limits) bool {
+// serveArrived serves a request, and those that have arrived behind it: the server can't stop taking requests
+// in between. It returns false if the connection must be closed.
+func (sv *Server) serveArrived(ctx context.Context, cn *conn) bool {
 	if !sv.requests.Enter() {
 		return false
 	}
 	defer sv.requests.Leave()
+	for sv.serveOne(ctx, cn, sv.Limits()) {
+		if len(cn.readAhead) == 0 && (!sv.draining.Load() || cn.unread() == 0) {
+			return true
+		}
+	}
+	return false
+}
+
+// serveOne reads and serves one request. It returns false if the connection must be
+// closed.
+func (sv *Server) serveOne(ctx context.Context, cn *conn, lim Limits) bool {
 	rd := sv.newReader(cn, lim)
 	req := &fasthttp.Request{}
 	held, status, err := sv.read(cn, rd, req, lim)
 	cn.saveBuffered(rd)
 	sv.readers.Put(rd)
-	an := &Answer{cn: cn, close: sv.draining.Load() || req.Header.ConnectionClose(), headOnly: req.Header.IsHead()}
+	an := &Answer{cn: cn, close: req.Header.ConnectionClose(), isLast: sv.closesAfter, headOnly: req.Header.IsHead()}
 	if err != nil {
 		sv.giveBack(held)
 		if status != 0 {
@@ -263,6 +270,10 @@
 	}
 }
 
+// closesAfter reports whether the server drains and closes a connection after the current response, as no other request
+// has arrived on it.
+func (sv *Server) closesAfter(cn *conn) bool { return sv.draining.Load() && !cn.hasNext() }
+
 // refuseUnread refuses a request that was not read as a whole.
 func (an *Answer) refuseUnread(status int, err error) {
 	if fault.Is(err, KindBusy) {
--- a/internal/edge/door/drain_test.go
+++ b/internal/edge/door/drain_test.go
@@ -19,6 +19,12 @@
 
 // serve starts a server whose requests take as long as takes.
 func serve(t *testing.T, takes time.Duration) (sv *door.Server, dial func() net.Conn) {
+	sv, dial, _ = serveUntil(t, takes)
+	return sv, dial
+}
+
+// serveUntil starts a server that stop ends.
+func serveUntil(t *testing.T, takes time.Duration) (sv *door.Server, dial func() net.Conn, stop context.CancelFunc) {
 	g := NewWithT(t)
 	ls, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
@@ -34,13 +40,14 @@
 		stop()
 		g.Expect(<-served).To(Succeed())
 	})
-	return sv, func() net.Conn {
+	dial = func() net.Conn {
 		cn, err := net.Dial("tcp", ls.Addr().String())
 		g.Expect(err).NotTo(HaveOccurred())
 		t.Cleanup(func() { _ = cn.Close() })
 		g.Expect(cn.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
 		return cn
 	}
+	return sv, dial, stop
 }
 
 // exchange sends a request on a connection, reads the answer and reports whether the server closes after it.
--- a/internal/edge/door/link.go
+++ b/internal/edge/door/link.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,8 +22,13 @@
 	meter *meter
 	// written is what has been handed to the kernel.
 	written units.Bytes
+	// ahead is set if readAhead may hold bytes of the next request.
+	ahead atomic.Bool
 }
 
+// hasNext reports whether bytes of the next request have arrived.
+func (cn *conn) hasNext() bool { return cn.ahead.Load() || cn.unread() > 0 }
+
 // Write implements net.Conn.
 func (cn *conn) Write(buf []byte) (int, error) {
 	num, err := cn.Conn.Write(buf)
@@ -90,6 +96,7 @@
 		ahead, _ := rd.Peek(num)
 		cn.readAhead = append(append([]byte(nil), ahead...), cn.readAhead...)
 	}
+	cn.ahead.Store(len(cn.readAhead) > 0)
 }
 
 // watchDisconnect calls onDisconnect when the caller closes the connection. The returned
@@ -106,6 +113,7 @@
 		num, err := cn.Conn.Read(one[:])
 		if num > 0 {
 			cn.readAhead = append(cn.readAhead, one[0])
+			cn.ahead.Store(true)
 			return
 		}
 		var ne net.Error
