daemon: a leaving node gives every request an answer

At the OpenAI address a leaving node polled its number of requests and went on taking new ones until the process ended. What can't be handed over was taken all the same: a plain service, and a whole answer without a key. Once the grace, the hand-over and the server's shutdown were over (6 s with a grace of 2 s), a request that may run once got a 504 that said its deadline had passed, if it got an answer before the process was gone. Requests that waited for a server, or came after the hand-over, got no order.

The server now counts its requests itself (edge/intake), streams until they are written. At the hand-over, or once nothing is in progress, it takes nothing more. The hand-over ends everything: streams and whole answers as before, what waits for a server or a place as not_run, a service that has been sent as unknown (502).

--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -46,6 +46,8 @@
 	KindCanceled Kind = "canceled"
 	// KindHandedOver marks a request in progress that was handed over to a peer.
 	KindHandedOver Kind = "handed_over"
+	// KindLeaving marks a request that has not run since the node leaves.
+	KindLeaving Kind = "not_ready"
 	// KindKeyBusy marks a request whose idempotency key is held by one in progress.
 	KindKeyBusy Kind = "key_in_progress"
 	// KindKeyConflict marks a request whose idempotency key was used for a different one.
@@ -80,8 +82,9 @@
 	// OnDraining is called when a backend server rejects a request because it is draining.
 	OnDraining func(units.Instance)
 
-	budgets sync.Map // table.RowKey to *budget
-	running runningSet
+	budgets   sync.Map // table.RowKey to *budget
+	running   runningSet
+	departure departure
 }
 
 // Owners queries the owner nodes, which track the current load of backend servers.
@@ -154,9 +157,14 @@
 		Row: ro.Key(), Weight: ro.Weight, Cost: float64(max(tokens, 1)),
 		DispatchBy: latestStart(time.Now(), ro, deadline),
 	}
+	ctx, cancel := fl.untilHandOver(ctx)
+	defer cancel()
 	leave, after, err := fl.Gates.Enter(ctx, ro.Target, it)
 	if err != nil {
 		settle(0)
+		if isHandedOver(ctx) {
+			return nil, notRun(op)
+		}
 		kind := KindOverload
 		if fault.Is(err, gate.KindCanceled) {
 			kind = KindCanceled
--- a/internal/edge/flow/model.go
+++ b/internal/edge/flow/model.go
@@ -81,13 +81,11 @@
 	answered bool
 }
 
-// moveOrder tells a run to continue on another server or, with handOver, to stop so that
-// a peer can continue it.
+// moveOrder tells a run to continue on another server.
 type moveOrder struct {
 	from     units.VMID
 	to       units.VMID
 	kvHandle string
-	handOver bool
 }
 
 // Model serves an admitted request to a model, with retries and moves between servers.
@@ -113,14 +111,16 @@
 }
 
 func (ru *run) loop(ctx context.Context) {
+	waits, cancel := ru.fl.untilHandOver(ctx)
+	defer cancel()
 	for {
-		err := ru.attempt(ctx)
+		err := ru.attempt(ctx, waits)
 		if err == nil {
 			ru.fl.countOutcome(answer.Done)
 			return
 		}
-		if !ru.shouldRetry(ctx, err) {
-			ru.fail(err)
+		if !ru.shouldRetry(waits, err) {
+			ru.fail(waits, err)
 			return
 		}
 	}
@@ -154,9 +154,18 @@
 	return re == nil || !re.Usable
 }
 
-func (ru *run) fail(err error) {
+// fail ends the request without a complete response. waits is the context of untilHandOver.
+func (ru *run) fail(waits context.Context, err error) {
+	const op = "flow.fail"
 	st := ru.machine.Abort()
 	ru.fl.countOutcome(st)
+	if isHandedOver(waits) && !fault.Is(err, KindInvalid) && !fault.Is(err, KindCanceled) {
+		if st == answer.NotRun && len(ru.out.Tokens) == 0 {
+			ru.out.Failure = notRun(op)
+			return
+		}
+		err = context.Cause(waits)
+	}
 	ru.out.Failure = &Failure{Outcome: st, RetryAfter: ru.fl.failureRetryAfter(ru.request.Row.Target), Err: err}
 	if fault.Is(err, KindInvalid) || fault.Is(err, KindCanceled) {
 		ru.out.Failure.RetryAfter = 0
@@ -177,12 +186,12 @@
 }
 
 // attempt sends the request to one server and delivers the tokens. It returns nil once the
-// response is complete.
-func (ru *run) attempt(ctx context.Context) error {
+// response is complete. It waits for a server until waits ends.
+func (ru *run) attempt(ctx, waits context.Context) error {
 	const op = "flow.attempt"
-	pi, ok := ru.pick(ctx)
-	if !ok && ctx.Err() != nil {
-		return fault.Wrap(op, KindDeadline, ctx.Err())
+	pi, ok := ru.pick(waits)
+	if !ok && waits.Err() != nil {
+		return fault.Wrap(op, KindDeadline, waits.Err())
 	}
 	if !ok {
 		return fault.New(op, KindNoServer, "no backend server of %s is usable", ru.request.Row.Target)
@@ -285,9 +294,12 @@
 			}
 			stall.Reset(max(minStallTimeout, nextTokenStallFactor*row.BetweenTokens.Std()))
 		case or := <-ru.orders:
-			if or.handOver || or.from == re.VM { // Orders for an earlier server are stale.
+			if or.from == re.VM { // Orders for an earlier server are stale.
 				return ru.follow(att, or)
 			}
+		case <-ru.fl.departure.context().Done():
+			ru.machine.Supersede(att)
+			return fault.New(op, KindHandedOver, "this node is leaving")
 		case <-idle.C:
 			if err := ru.sink.KeepAlive(); err != nil {
 				ru.machine.Fail(att, answer.MayHaveRun)
@@ -371,13 +383,10 @@
 	return fault.Wrap(op, KindBroken, err)
 }
 
-// follow ends an attempt as ordered by a reclaim or hand-over.
+// follow ends an attempt as ordered by a reclaim.
 func (ru *run) follow(att units.AttemptID, or moveOrder) error {
 	const op = "flow.follow"
 	ru.machine.Supersede(att)
-	if or.handOver {
-		return fault.New(op, KindHandedOver, "this node is leaving")
-	}
 	ru.next = &or
 	if or.kvHandle != "" {
 		ru.fl.Counts.Moves.Add(1)
--- a/internal/edge/flow/reclaim.go
+++ b/internal/edge/flow/reclaim.go
@@ -153,10 +153,3 @@
 	ru.sendOrder(moveOrder{from: from, to: de.To, kvHandle: done.KVHandle})
 	return true
 }
-
-// HandOver stops all runs in progress, so that peers can continue them.
-func (fl *Flow) HandOver() {
-	for _, ru := range fl.running.all() {
-		ru.sendOrder(moveOrder{handOver: true})
-	}
-}
--- a/internal/edge/flow/running.go
+++ b/internal/edge/flow/running.go
@@ -48,19 +48,6 @@
 	return out
 }
 
-// all returns the runs on all VMs.
-func (rs *runningSet) all() []*run {
-	rs.mu.Lock()
-	defer rs.mu.Unlock()
-	var out []*run
-	for _, set := range rs.byVM {
-		for ru := range set {
-			out = append(out, ru)
-		}
-	}
-	return out
-}
-
 // sendOrder sends an order to a run. It is dropped if one is pending already.
 func (ru *run) sendOrder(or moveOrder) {
 	select {
--- a/internal/edge/flow/service.go
+++ b/internal/edge/flow/service.go
@@ -30,6 +30,8 @@
 func (fl *Flow) Service(ctx context.Context, ca *ServiceRequest) (*plain.Answer, *Failure) {
 	ctx, cancel := context.WithDeadline(ctx, ca.Deadline)
 	defer cancel()
+	ctx, stop := fl.untilHandOver(ctx)
+	defer stop()
 	ma := answer.New(ca.Row.Idempotent, ca.Row.Attempts)
 	ma.Accept()
 	bu := fl.budget(ca.Row.Key())
@@ -42,15 +44,27 @@
 			return an, nil
 		}
 		if !ma.CanDispatch() || ctx.Err() != nil || fault.Is(err, KindNoServer) || !bu.spend() {
-			st := ma.Abort()
-			fl.countOutcome(st)
-			return nil, &Failure{Outcome: st, RetryAfter: fl.failureRetryAfter(ca.Row.Target), Err: err}
+			return nil, fl.serviceFailure(ctx, ca, ma, err)
 		}
 		fl.Counts.Retries.Add(1)
 		backOff(ctx, ma.Attempt())
 	}
 }
 
+// serviceFailure ends a request after its last attempt.
+func (fl *Flow) serviceFailure(ctx context.Context, ca *ServiceRequest, ma *answer.Machine, err error) *Failure {
+	const op = "flow.Service"
+	st := ma.Abort()
+	fl.countOutcome(st)
+	if isHandedOver(ctx) {
+		if st == answer.NotRun {
+			return notRun(op)
+		}
+		err = fault.New(op, KindBroken, "this node left before the service had answered")
+	}
+	return &Failure{Outcome: st, RetryAfter: fl.failureRetryAfter(ca.Row.Target), Err: err}
+}
+
 func (fl *Flow) serviceOnce(ctx context.Context, ca *ServiceRequest, ma *answer.Machine, ask *route.Request) (*plain.Answer, error) {
 	const op = "flow.serviceOnce"
 	pi, ok := fl.choose(ctx, ca.Row.Target, ask, serviceServerWait)
--- a/internal/edge/intake/intake.go
+++ b/internal/edge/intake/intake.go
@@ -25,6 +25,13 @@
 	return true
 }
 
+// Extend counts a part of a request in progress that may outlast it, for which Leave has to be called too.
+func (in *Intake) Extend() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.count++
+}
+
 // Leave records the end of a request.
 func (in *Intake) Leave() {
 	in.mu.Lock()
--- a/internal/edge/serve/model.go
+++ b/internal/edge/serve/model.go
@@ -90,6 +90,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if !mr.Stream && key == "" && ct.Get(HeaderLastEvent) == "" { // No caller could resume it.
+		if err := sv.endsBefore(until); err != nil {
+			return nil, err
+		}
+	}
 	ex := &modelExchange{stream: mr.Stream, chat: strings.HasSuffix(ct.Path(), "/chat/completions")}
 	ex.request = newModelRequest(ct, ro, &mr, until, key)
 	return ex, sv.resume(ct, who.customer, ex)
--- a/internal/edge/serve/reply.go
+++ b/internal/edge/serve/reply.go
@@ -107,6 +107,9 @@
 	fa := &flow.Failure{Outcome: answer.NotRun, Err: err}
 	if fault.Is(err, KindNotReady) {
 		fa.RetryAfter = time.Second
+		if after := fault.RetryAfter(err); after > 0 {
+			fa.RetryAfter = after
+		}
 	}
 	return fail(ct, fa)
 }
--- a/internal/edge/serve/server.go
+++ b/internal/edge/serve/server.go
@@ -6,12 +6,14 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
 
 	"lycheepick/internal/edge/door"
 	"lycheepick/internal/edge/flow"
+	"lycheepick/internal/edge/intake"
 	"lycheepick/internal/rule/fault"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/state/intent"
@@ -94,6 +96,11 @@
 	ctx  context.Context
 	// streams holds the streamed responses in progress: units.RequestID to *streamedResponse.
 	streams sync.Map
+	// requests are those to models and services until their answers are ready to be written, streamed ones
+	// until they have been written.
+	requests intake.Intake
+	// stopsAt is when the node stops, nil while it isn't leaving.
+	stopsAt atomic.Pointer[time.Time]
 }
 
 // New returns a server that serves requests with fl. Requests are cancelled when ctx ends.
@@ -113,6 +120,7 @@
 	sv.app.Get("/healthz", func(ct *fiber.Ctx) error { return ct.SendString("ok\n") })
 	sv.app.Get("/readyz", sv.ready)
 	sv.app.Get("/metrics", sv.metrics)
+	sv.app.Use(sv.enter)
 	sv.app.Get("/v1/models", sv.models)
 	sv.app.Post("/v1/chat/completions", sv.model)
 	sv.app.Post("/v1/completions", sv.model)
@@ -138,7 +146,7 @@
 	return sv.app.Listener(door.Linger(ls))
 }
 
-// Shutdown stops listening and waits for the requests in progress, at most for within.
+// Shutdown stops listening and waits until the answers have been written, at most for within.
 func (sv *Server) Shutdown(within time.Duration) error { return sv.app.ShutdownWithTimeout(within) }
 
 func (sv *Server) ready(ct *fiber.Ctx) error {
--- a/internal/edge/serve/service.go
+++ b/internal/edge/serve/service.go
@@ -67,6 +67,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := sv.endsBefore(until); err != nil {
+		return nil, err
+	}
 	key, err := idempotencyKey(ct)
 	if err != nil {
 		return nil, err
--- a/internal/edge/serve/stream.go
+++ b/internal/edge/serve/stream.go
@@ -86,6 +86,7 @@
 	}
 	ct.Set(fiber.HeaderContentType, "text/event-stream")
 	ct.Set(fiber.HeaderCacheControl, "no-store")
+	sv.requests.Extend() // The handler returns before the stream is written.
 	ct.Context().SetBodyStreamWriter(func(wr *bufio.Writer) { sr.write(wr, first, out) })
 	return nil
 }
@@ -146,6 +147,7 @@
 
 // write sends the stream to the caller until it ends or the caller has disconnected.
 func (sr *streamedResponse) write(wr *bufio.Writer, first *streamItem, out *flow.Outcome) {
+	defer sr.sv.requests.Leave()
 	defer sr.forget()
 	defer sr.cancel()
 	ew := &eventWriter{wr: wr, ex: sr.ex, created: time.Now().Unix()}
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -186,18 +186,21 @@
 	leaveMargin = 3 * time.Second
 	// handOverTimeout bounds the hand-over of requests to peers.
 	handOverTimeout = 2 * time.Second
-	idlePollPeriod  = 20 * time.Millisecond
 )
 
-// shutDown stops new requests, waits up to grace for those in progress and hands over the rest.
+// shutDown takes only requests that end or can be handed over, waits up to grace for those in progress, hands over
+// or ends the rest and refuses what comes after them.
 func (da *Daemon) shutDown(grace time.Duration) {
+	stopsAt := time.Now().Add(grace)
 	da.leaving.Store(true)
+	da.server.Leave(stopsAt)
 	da.announce(func(me *member.Member) { me.State = member.Leaving })
 	da.trail.Note("node_leaving", string(da.settings.VM.ID), "")
-	if !da.idleWithin(grace) {
+	if !closedWithin(da.server.CloseAtIdle(), time.Until(stopsAt)) {
 		da.trail.Note("node_hands_over", string(da.settings.VM.ID), "")
+		idle := da.server.Close()
 		da.flow.HandOver()
-		da.idleWithin(handOverTimeout)
+		closedWithin(idle, handOverTimeout)
 	}
 	da.releaseSeat()
 	_ = da.server.Shutdown(handOverTimeout)
@@ -205,16 +208,16 @@
 	da.log.Info("stopped")
 }
 
-// idleWithin waits up to du for the requests in progress and reports whether all have ended.
-func (da *Daemon) idleWithin(du time.Duration) bool {
-	until := time.Now().Add(du)
-	for da.flow.Counts.InFlight.Load() > 0 {
-		if time.Now().After(until) {
-			return false
-		}
-		time.Sleep(idlePollPeriod)
+// closedWithin waits up to du for a channel to be closed and reports whether it was.
+func closedWithin(done <-chan struct{}, du time.Duration) bool {
+	tm := time.NewTimer(du)
+	defer tm.Stop()
+	select {
+	case <-done:
+		return true
+	case <-tm.C:
+		return false
 	}
-	return true
 }
 
 // Table implements serve.Node.
--- a/internal/proof/procs_test.go
+++ b/internal/proof/procs_test.go
@@ -53,6 +53,7 @@
 
 	results map[string]*result
 	loads   map[string]chan *finishedLoad
+	kept    *keptCallers
 }
 
 type proc struct {
--- a/internal/proof/real_test.go
+++ b/internal/proof/real_test.go
@@ -26,7 +26,7 @@
 //	retention DURATION                      retention of the log; must come before up
 //	expired STREAM                          wait until the first record of a stream has expired
 //	revive NODE                             restart a node after it has ended
-//	ready NODE                              wait until a node is ready
+//	ready|unready NODE                      wait until a node is ready, or is not
 //	gone NAME                               wait until a process has ended
 //	fault NAME JSON                         set the faults of a fake
 //	post NAME PATH JSON                     call a fake's admin endpoint
@@ -37,6 +37,8 @@
 //	tokens ID NUM                           wait until a stream has NUM tokens
 //	openai NODE                             run the official OpenAI client library
 //	until NODE METRIC OP VALUE              wait for a metric
+//	keep NODE                               send requests on open connections until a node is gone
+//	keptended                               wait for their end; what ran must have an answer
 //	ended ID...                             wait until requests have ended
 //	settled NODE BODY KEY                   repeat a request until the recorded response is replayed
 //	runs BODY NUM...                        check how often the plain services ran a body
@@ -73,6 +75,14 @@
 		return pr.startNode(args[0])
 	}),
 	"ready": withProcs(func(pr *procs, args []string) error { return pr.awaitHTTP(args[0], "/readyz") }),
+	"unready": withProcs(func(pr *procs, args []string) error {
+		return await(args[0]+" not ready", func() error {
+			if code, _, err := pr.get(args[0], "/readyz"); err != nil || code == fasthttp.StatusOK {
+				return fmt.Errorf("status %d: %w", code, err)
+			}
+			return nil
+		})
+	}),
 	"gone": withProcs(func(pr *procs, args []string) error {
 		select {
 		case <-pr.procs[args[0]].done:
@@ -112,9 +122,11 @@
 		}
 		return nil
 	}),
-	"settled": withProcs((*procs).settled),
-	"load":    withProcs((*procs).load),
-	"loaded":  withProcs((*procs).loaded),
+	"settled":   withProcs((*procs).settled),
+	"keep":      withProcs((*procs).keep),
+	"keptended": withProcs((*procs).keptEnded),
+	"load":      withProcs((*procs).load),
+	"loaded":    withProcs((*procs).loaded),
 }
 
 func withProcs(do func(*procs, []string) error) func(*testscript.TestScript, bool, []string) {
