serve: a node told to stop before it listens ends

A node at the OpenAI address that got SIGTERM before its server had begun to listen shut nothing down, then listened, and never ended. The server remembers now that it was stopped, and closes a listener that is only about to be served.

--- a/internal/edge/serve/server.go
+++ b/internal/edge/serve/server.go
@@ -101,6 +101,10 @@
 	requests intake.Intake
 	// stopsAt is when the node stops, nil while it isn't leaving.
 	stopsAt atomic.Pointer[time.Time]
+
+	mu       sync.Mutex
+	listener net.Listener
+	stopped  bool
 }
 
 // New returns a server that serves requests with fl. Requests are cancelled when ctx ends.
@@ -143,11 +147,29 @@
 	if err != nil {
 		return fault.Wrap("serve.Listen", KindListen, err)
 	}
-	return sv.app.Listener(door.Linger(ls))
+	ls = door.Linger(ls)
+	sv.mu.Lock()
+	sv.listener = ls
+	stopped := sv.stopped
+	sv.mu.Unlock()
+	if stopped {
+		return ls.Close()
+	}
+	return sv.app.Listener(ls)
 }
 
 // Shutdown stops listening and waits until the answers have been written, at most for within.
-func (sv *Server) Shutdown(within time.Duration) error { return sv.app.ShutdownWithTimeout(within) }
+func (sv *Server) Shutdown(within time.Duration) error {
+	sv.mu.Lock()
+	sv.stopped = true
+	ls := sv.listener
+	sv.mu.Unlock()
+	err := sv.app.ShutdownWithTimeout(within)
+	if ls != nil {
+		_ = ls.Close() // The app doesn't know it if it is only about to serve it.
+	}
+	return err
+}
 
 func (sv *Server) ready(ct *fiber.Ctx) error {
 	if err := sv.node.Ready(); err != nil {
