door: connections that are busy as the server begins to drain are closed too

Callers' next requests came to a leaving node on connections that had a response in progress at the signal: idle connections are closed once, 0.1 s after it, so that a stream's connection stayed open until the node ended. After a response that had begun before, the connection is now closed when it has been idle for 0.1 s. New ones keep the usual time for their first request. A request that arrives as the time is up is read.

--- a/internal/edge/door/door.go
+++ b/internal/edge/door/door.go
@@ -192,11 +192,15 @@
 	defer cancel()
 	defer func() { _ = cn.Close() }()
 	setUserTimeout(cn.Conn)
-	for ctx.Err() == nil {
+	for first := true; ctx.Err() == nil; first = false {
 		if !sv.setIdle(cn, true) {
 			return
 		}
-		ok := cn.awaitRequest(sv.Limits().IdleTimeout)
+		within := sv.Limits().IdleTimeout
+		if !first && sv.draining.Load() {
+			within = idleCloseDelay
+		}
+		ok := cn.awaitRequest(within)
 		sv.setIdle(cn, false)
 		if !ok || !sv.serveArrived(ctx, cn) {
 			return
--- a/internal/edge/door/drain_test.go
+++ b/internal/edge/door/drain_test.go
@@ -120,3 +120,36 @@
 	stop()
 	g.Expect(<-served).To(Succeed())
 }
+
+// TestDrainLeavesBusyConnectionsOpen guards against connections that have a request in progress as the server begins
+// to drain and are kept after it: they bring their callers' next requests.
+func TestDrainLeavesBusyConnectionsOpen(t *testing.T) {
+	t.Run("the response begins later", func(t *testing.T) {
+		g := NewWithT(t)
+		sv, dial := serve(t, 300*time.Millisecond)
+		cn := dial()
+		time.AfterFunc(50*time.Millisecond, func() { sv.Drain(t.Context()) })
+		g.Expect(exchange(g, cn)).To(BeTrue(), "it says that it closes")
+	})
+	t.Run("the response has begun", func(t *testing.T) {
+		g := NewWithT(t)
+		sv, dial := serve(t, 0)
+		goOn := make(chan struct{})
+		sv.Handler = func(_ context.Context, _ *door.Request, an *door.Answer) {
+			_ = an.Start(&fasthttp.ResponseHeader{})
+			<-goOn
+			_ = an.Part([]byte("whole"))
+			_ = an.End()
+		}
+		cn := dial()
+		time.AfterFunc(50*time.Millisecond, func() {
+			sv.Drain(t.Context())
+			close(goOn)
+		})
+		g.Expect(exchange(g, cn)).To(BeFalse())
+		began := time.Now()
+		_, err := cn.Read(make([]byte, 1))
+		g.Expect(err).To(Equal(io.EOF))
+		g.Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+	})
+}
--- a/internal/edge/door/link.go
+++ b/internal/edge/door/link.go
@@ -83,6 +83,10 @@
 	_ = cn.SetReadDeadline(time.Now().Add(within))
 	var one [1]byte
 	num, err := cn.Conn.Read(one[:])
+	if err != nil && cn.unread() > 0 { // It has arrived as the time was up.
+		_ = cn.SetReadDeadline(time.Time{})
+		num, err = cn.Conn.Read(one[:])
+	}
 	if num == 0 || err != nil {
 		return false
 	}
