door: a server that ends doesn't wait for the rest of requests

A node whose callers had sent a part of a request, and not the rest, went on until they did or for 10 s, and was killed at the end of its grace: the end of the server's context stopped what was served, not what was being read.

The end of the context now ends the reading. The caller gets 503 with a short time to come back, as the request has not run. Until then, which is when the node has nothing left to wait for or at the end of its grace, the rest of a request is still taken and answered.

--- a/internal/edge/door/door.go
+++ b/internal/edge/door/door.go
@@ -35,6 +35,8 @@
 	KindBusy Kind = "busy"
 	// KindCallerGone marks a caller that disconnected or timed out.
 	KindCallerGone Kind = "gone"
+	// KindStopping marks a request that had not been read as a whole when the server ended.
+	KindStopping Kind = "stopping"
 )
 
 // Error is the error type of this package.
@@ -71,6 +73,9 @@
 	writeTimeout = 5 * time.Second
 	// busyRetryAfter is when the caller of a request may come back for whose body there is no memory.
 	busyRetryAfter = 500 * time.Millisecond
+	// stoppingRetryAfter is when the caller of a request may come back that a server has read in part at its end. The
+	// retry reaches another one.
+	stoppingRetryAfter = 10 * time.Millisecond
 	// idleCloseDelay is how long a draining server keeps idle connections open, for requests that are on
 	// their way.
 	idleCloseDelay = 100 * time.Millisecond
@@ -228,17 +233,15 @@
 func (sv *Server) serveOne(ctx context.Context, cn *conn, lim Limits) bool {
 	rd := sv.newReader(cn, lim)
 	req := &fasthttp.Request{}
+	resume := context.AfterFunc(ctx, cn.interrupt)
 	held, status, err := sv.read(cn, rd, req, lim)
+	resume()
 	cn.saveBuffered(rd)
 	sv.readers.Put(rd)
 	an := &Answer{cn: cn, close: req.Header.ConnectionClose(), isLast: sv.closesAfter, headOnly: req.Header.IsHead()}
 	if err != nil {
 		sv.giveBack(held)
-		if status != 0 {
-			an.close = true
-			an.refuseUnread(status, err)
-			cn.lingerClose(rejectedLingerTimeout)
-		}
+		sv.endUnread(ctx, an, status, err)
 		return false
 	}
 	if !req.Header.IsHTTP11() {
@@ -278,11 +281,30 @@
 // has arrived on it.
 func (sv *Server) closesAfter(cn *conn) bool { return sv.draining.Load() && !cn.hasNext() }
 
+// endUnread ends a request that was not read as a whole. status is 0 if no response can be sent.
+func (sv *Server) endUnread(ctx context.Context, an *Answer, status int, err error) {
+	const op = "door.endUnread"
+	linger := rejectedLingerTimeout
+	if ctx.Err() != nil && status == 0 {
+		status, err, linger = fasthttp.StatusServiceUnavailable, fault.New(op, KindStopping, "this node is leaving"), stoppingLingerTimeout
+	}
+	if status == 0 {
+		return
+	}
+	an.close = true
+	an.refuseUnread(status, err)
+	an.cn.lingerClose(linger)
+}
+
 // refuseUnread refuses a request that was not read as a whole.
 func (an *Answer) refuseUnread(status int, err error) {
-	if fault.Is(err, KindBusy) {
+	switch {
+	case fault.Is(err, KindBusy):
 		an.Refuse(status, err.Error(), busyRetryAfter)
 		return
+	case fault.Is(err, KindStopping):
+		an.Refuse(status, err.Error(), stoppingRetryAfter)
+		return
 	}
 	an.Refuse(status, "bad request: "+errors.Cause(err).Error(), 0)
 }
@@ -312,7 +334,7 @@
 
 func readHeader(cn *conn, rd *bufio.Reader, req *fasthttp.Request, lim Limits) (status int, err error) {
 	const op = "door.readHeader"
-	_ = cn.SetReadDeadline(time.Now().Add(lim.HeaderTimeout))
+	cn.limitRead(lim.HeaderTimeout)
 	if err := req.Header.Read(rd); err != nil {
 		var small *fasthttp.ErrSmallBuffer
 		var ne net.Error
@@ -332,7 +354,7 @@
 
 func readBody(cn *conn, rd *bufio.Reader, req *fasthttp.Request, lim Limits) (status int, err error) {
 	const op = "door.readBody"
-	_ = cn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	cn.limitRead(bodyTimeout)
 	if req.MayContinue() {
 		if _, err := cn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return 0, fault.Wrap(op, KindCallerGone, err)
--- a/internal/edge/door/link.go
+++ b/internal/edge/door/link.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -24,6 +25,27 @@
 	written units.Bytes
 	// ahead is set if readAhead may hold bytes of the next request.
 	ahead atomic.Bool
+
+	mu sync.Mutex
+	// interrupted is set once requests are not read any further.
+	interrupted bool
+}
+
+// limitRead sets the time within which the next part of a request has to be read.
+func (cn *conn) limitRead(within time.Duration) {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	if !cn.interrupted {
+		_ = cn.SetReadDeadline(time.Now().Add(within))
+	}
+}
+
+// interrupt makes a request that is being read time out.
+func (cn *conn) interrupt() {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.interrupted = true
+	_ = cn.SetReadDeadline(time.Unix(1, 0))
 }
 
 // hasNext reports whether bytes of the next request have arrived.
@@ -144,6 +166,9 @@
 	lingerTimeout = 200 * time.Millisecond
 	// rejectedLingerTimeout applies after a rejected request, of which more may be arriving.
 	rejectedLingerTimeout = 2 * time.Second
+	// stoppingLingerTimeout applies after a request that was read in part when the server ended. Its process has to
+	// end soon.
+	stoppingLingerTimeout = 100 * time.Millisecond
 	maxLingerBytes        = 8 << 20
 )
 
--- a/internal/edge/door/pipe_test.go
+++ b/internal/edge/door/pipe_test.go
@@ -77,3 +77,25 @@
 	}
 	g.Eventually(closed, time.Second).Should(BeClosed())
 }
+
+// TestEndDoesNotWaitForHalfRequests guards against a server that goes on after its context has ended, until the rest of a
+// request comes: its process would be killed. The caller is told that the request has not run.
+func TestEndDoesNotWaitForHalfRequests(t *testing.T) {
+	for _, half := range []string{"POST / HTTP/1.1\r\nHo", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n12"} {
+		g := NewWithT(t)
+		sv, dial, stop := serveUntil(t, 0)
+		cn := dial()
+		_, err := io.WriteString(cn, half)
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(50 * time.Millisecond)
+		sv.Close()
+		began := time.Now()
+		stop()
+		resp, err := http.ReadResponse(bufio.NewReader(cn), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+		g.Expect(resp.Body.Close()).To(Succeed())
+		g.Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
+	}
+}
