daemon: answers are delivered within the grace

A node at the OpenAI address with nothing in progress gave callers 2 s to read what was still being written, however much of its grace was left, and then cut it: a service's answer of 7.9 MB that had run ended after 3.9 MB. The server's shutdown now has what is left of the grace, and 2 s at least.

TestReal/stop-slow: a caller reads after 5 s, the grace is 10 s.

--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -203,7 +203,8 @@
 		closedWithin(idle, handOverTimeout)
 	}
 	da.releaseSeat()
-	_ = da.server.Shutdown(handOverTimeout)
+	// Callers who read their answers slowly have what is left of the grace.
+	_ = da.server.Shutdown(max(handOverTimeout, time.Until(stopsAt)))
 	da.peerPool.Close()
 	da.log.Info("stopped")
 }
--- a/internal/proof/procs_test.go
+++ b/internal/proof/procs_test.go
@@ -51,9 +51,13 @@
 	// retention is the time for which the log keeps records, or "" for its default.
 	retention string
 
-	results map[string]*result
-	loads   map[string]chan *finishedLoad
-	kept    *keptCallers
+	// grace is what the nodes have to end in when they are stopped.
+	grace string
+
+	results    map[string]*result
+	loads      map[string]chan *finishedLoad
+	kept       *keptCallers
+	slowCaller *slowCaller
 }
 
 type proc struct {
@@ -65,7 +69,7 @@
 func newProcs(env *testscript.Env) *procs {
 	pr := &procs{
 		env: env, dir: env.WorkDir, procs: map[string]*proc{}, addrs: map[string]string{}, proxies: map[string]*proxy{},
-		starts: map[string]int{}, results: map[string]*result{}, loads: map[string]chan *finishedLoad{},
+		starts: map[string]int{}, grace: "2s", results: map[string]*result{}, loads: map[string]chan *finishedLoad{},
 	}
 	env.Defer(pr.stopAll)
 	env.Setenv("LYCHEEPICK_LOG", "http://"+pr.addr("log"))
@@ -225,9 +229,9 @@
 	zone := "zone-" + strings.TrimPrefix(name, "node-")
 	settings := fmt.Sprintf(`{"vm":{"id":%q,"incarnation":1,"zone":%q},
 "listen":{"callers":%q,"peers":%q},"platform":{"log":"http://%s","cloud":"http://%s"},
-"seeds":[%q],"secret":{"file":%q},"timing":{"grace":"2s","vm_list":"200ms","gossip":"200ms","suspect":"3s"},"log":{"level":"debug"}}`,
+"seeds":[%q],"secret":{"file":%q},"timing":{"grace":%q,"vm_list":"200ms","gossip":"200ms","suspect":"3s"},"log":{"level":"debug"}}`,
 		name, zone, pr.addr(name), pr.addr(name+".peers"), pr.proxies[name+".log"].addr(), pr.proxies[name+".cloud"].addr(),
-		pr.addr("node-1.peers"), filepath.Join(pr.dir, "secret"))
+		pr.addr("node-1.peers"), filepath.Join(pr.dir, "secret"), pr.grace)
 	file := filepath.Join(pr.dir, name+".json")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		return err
--- a/internal/proof/real_test.go
+++ b/internal/proof/real_test.go
@@ -24,6 +24,7 @@
 //	crash|freeze|thaw|term NAME             SIGKILL, SIGSTOP, SIGCONT, SIGTERM
 //	crash-busy|freeze-busy                  SIGKILL or SIGSTOP an engine with requests in progress
 //	retention DURATION                      retention of the log; must come before up
+//	grace DURATION                          grace of the nodes; must come before up
 //	expired STREAM                          wait until the first record of a stream has expired
 //	revive NODE                             restart a node after it has ended
 //	ready|unready NODE                      wait until a node is ready, or is not
@@ -39,6 +40,8 @@
 //	until NODE METRIC OP VALUE              wait for a metric
 //	keep NODE                               send requests on open connections until a node is gone
 //	keptended                               wait for their end; what ran must have an answer
+//	slow NODE                               send a request and read only the header of its answer, which is large
+//	slowend DURATION                        read the rest of that answer after a time
 //	ended ID...                             wait until requests have ended
 //	settled NODE BODY KEY                   repeat a request until the recorded response is replayed
 //	runs BODY NUM...                        check how often the plain services ran a body
@@ -66,6 +69,10 @@
 		pr.retention = args[0]
 		return nil
 	}),
+	"grace": withProcs(func(pr *procs, args []string) error {
+		pr.grace = args[0]
+		return nil
+	}),
 	"expired": withProcs(func(pr *procs, args []string) error { return pr.awaitExpiry(args[0]) }),
 	"freeze":  withProcs(func(pr *procs, args []string) error { return pr.signal(args[0], syscall.SIGSTOP) }),
 	"thaw":    withProcs(func(pr *procs, args []string) error { return pr.signal(args[0], syscall.SIGCONT) }),
@@ -125,6 +132,8 @@
 	"settled":   withProcs((*procs).settled),
 	"keep":      withProcs((*procs).keep),
 	"keptended": withProcs((*procs).keptEnded),
+	"slow":      withProcs((*procs).slow),
+	"slowend":   withProcs((*procs).slowEnd),
 	"load":      withProcs((*procs).load),
 	"loaded":    withProcs((*procs).loaded),
 }
