door: a connection is closed once its answer has arrived

After the last answer on a connection the door reads for 0.2 s and closes it. A caller that reads slowly and sends its next request later than that made the kernel reset the connection, which took the rest of a complete answer with it. The door now goes on reading until the caller's machine has acknowledged all of it, at most writeTimeout.

--- a/internal/edge/door/door.go
+++ b/internal/edge/door/door.go
@@ -247,6 +247,7 @@
 	if !req.Header.IsHTTP11() {
 		an.close, an.unchunked = true, true
 	}
+	serving := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	stop := cn.watchDisconnect(cancel)
 	sv.Handler(ctx, &Request{Header: &req.Header, Body: req.Body(), Arrived: time.Now()}, an)
@@ -257,7 +258,7 @@
 		cn.reset() // The end of the connection would look like that of the answer.
 	}
 	if an.close && an.completed {
-		cn.lingerClose(lingerTimeout)
+		cn.lingerClose(serving, lingerTimeout)
 	}
 	return an.completed && !an.close
 }
@@ -293,7 +294,7 @@
 	}
 	an.close = true
 	an.refuseUnread(status, err)
-	an.cn.lingerClose(linger)
+	an.cn.lingerClose(ctx, linger)
 }
 
 // refuseUnread refuses a request that was not read as a whole.
--- a/internal/edge/door/linger.go
+++ b/internal/edge/door/linger.go
@@ -1,6 +1,7 @@
 package door
 
 import (
+	"context"
 	"net"
 	"sync/atomic"
 )
@@ -37,7 +38,7 @@
 // Close implements net.Conn.
 func (li *lingerConn) Close() error {
 	if li.bufferFilled.Load() {
-		li.lingerClose(rejectedLingerTimeout)
+		li.lingerClose(context.Background(), rejectedLingerTimeout)
 	}
 	return li.Conn.Close()
 }
--- a/internal/edge/door/link.go
+++ b/internal/edge/door/link.go
@@ -166,24 +166,33 @@
 	lingerTimeout = 200 * time.Millisecond
 	// rejectedLingerTimeout applies after a rejected request, of which more may be arriving.
 	rejectedLingerTimeout = 2 * time.Second
-	// stoppingLingerTimeout applies after a request that was read in part when the server ended. Its process has to
-	// end soon.
+	// stoppingLingerTimeout applies once the server has ended: its process has to end soon.
 	stoppingLingerTimeout = 100 * time.Millisecond
-	maxLingerBytes        = 8 << 20
+	// deliveryPollPeriod is how often a lingering connection checks whether the response has arrived.
+	deliveryPollPeriod = 50 * time.Millisecond
+	maxLingerBytes     = 8 << 20
 )
 
-// lingerClose closes the write side and discards what the caller still sends. Closing a
-// connection with unread bytes would reset it, and the caller could lose the response.
-func (cn *conn) lingerClose(within time.Duration) {
+// lingerClose closes the write side and discards what the caller still sends, for a time and until its machine has
+// the whole response, or ctx has ended. Closing a connection with unread bytes would reset it, and so would bytes
+// that arrive later; the caller could lose the response.
+func (cn *conn) lingerClose(ctx context.Context, within time.Duration) {
 	tc, ok := cn.Conn.(*net.TCPConn)
 	if !ok || tc.CloseWrite() != nil {
 		return
 	}
+	last := time.Now().Add(max(within, writeTimeout))
 	_ = cn.SetReadDeadline(time.Now().Add(within))
+	defer context.AfterFunc(ctx, func() { _ = cn.SetReadDeadline(time.Now().Add(min(within, stoppingLingerTimeout))) })()
 	buf := make([]byte, 4<<10)
 	for total := 0; total < maxLingerBytes; {
 		num, err := cn.Conn.Read(buf)
 		total += num
+		var ne net.Error
+		if errors.As(err, &ne) && ne.Timeout() && ctx.Err() == nil && cn.unacknowledged() > 0 && time.Now().Before(last) {
+			_ = cn.SetReadDeadline(time.Now().Add(deliveryPollPeriod))
+			continue
+		}
 		if err != nil {
 			return
 		}
