detour: the model of a fleet gives the same run for the same seed

What was seen: crowd.Run beside cuts differed from run to run with one seed, so a failure of TestCutNodesServe could not be played again. Cause: detour.Nodes drew from the global random source, and its hints depended on the order of a map. Both draw from a source of the node's own now, whose seed is random in production and set in the model.

--- a/internal/bench/crowd/node.go
+++ b/internal/bench/crowd/node.go
@@ -102,7 +102,7 @@
 	no.rests, no.old = rest.NewBook(uint64(num)<<8|uint64(no.incarnation)), num < ru.Load.OldNodes
 	no.origins, no.versions = origin.NewBook(), origin.NewVersions()
 	no.crashes = crash.NewBook(uint32(num)<<8 | uint32(no.incarnation))
-	no.path, no.detours, no.isCut, no.dialing = detour.NewPath(), detour.NewNodes(), false, map[*request]int{}
+	no.path, no.detours, no.isCut, no.dialing = detour.NewPath(), detour.NewNodes(ru.Seed<<32|uint64(num)<<8|uint64(no.incarnation)), false, map[*request]int{}
 	no.unreached, no.lost, no.running = map[units.VMID]bool{}, map[units.VMID]bool{}, 0
 	no.peers = nil
 	li := ru.limit()
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -189,7 +190,7 @@
 	no.origins = newOrigins(no)
 	no.relay.AskPermits, no.relay.Origins, no.relay.OwnsTrials = no.askPermits, no.origins, no.ownsTrials
 	no.relay.ObserveFirstByte = func(du time.Duration) { no.firstByte.Update(du.Microseconds()) }
-	no.forwards = &forwards{no: no, nodes: detour.NewNodes()}
+	no.forwards = &forwards{no: no, nodes: detour.NewNodes(rand.Uint64())}
 	no.relay.Detours = no.forwards
 	handler, forwarded := pf.Handler(View{Relay: no.relay, Config: no.inForce, Behind: no.isConfigBehind})
 	no.forwards.handler = forwarded
--- a/internal/rule/detour/detour_test.go
+++ b/internal/rule/detour/detour_test.go
@@ -151,7 +151,7 @@
 // ExampleNodes_Choose shows that nodes are passed over that declined a request, and that those are
 // preferred then that took one.
 func ExampleNodes_Choose() {
-	ns, now := detour.NewNodes(), time.Unix(1000, 0)
+	ns, now := detour.NewNodes(1), time.Unix(1000, 0)
 	load := func(units.VMID) int { return 0 }
 	ns.Declined(now, "a", "app")
 	ns.Took(now, "c", "app")
@@ -172,7 +172,7 @@
 
 // TestLoadIsSpread guards against nodes that all send their requests through the same one.
 func TestLoadIsSpread(t *testing.T) {
-	ns, now := detour.NewNodes(), time.Unix(1000, 0)
+	ns, now := detour.NewNodes(1), time.Unix(1000, 0)
 	nodes := []units.VMID{"a", "b", "c", "d"}
 	counts := map[units.VMID]int{}
 	for range 400 {
--- a/internal/rule/detour/pick.go
+++ b/internal/rule/detour/pick.go
@@ -29,6 +29,7 @@
 	unusable, good map[nodeService]time.Time
 	// sent counts the requests in progress through each node.
 	sent map[units.VMID]int
+	rnd  *rand.Rand
 }
 
 type nodeService struct {
@@ -36,9 +37,9 @@
 	service units.TargetID
 }
 
-// NewNodes returns an empty Nodes.
-func NewNodes() *Nodes {
-	return &Nodes{unusable: map[nodeService]time.Time{}, good: map[nodeService]time.Time{}, sent: map[units.VMID]int{}}
+// NewNodes returns an empty Nodes. The seed differs between nodes.
+func NewNodes(seed uint64) *Nodes {
+	return &Nodes{unusable: map[nodeService]time.Time{}, good: map[nodeService]time.Time{}, sent: map[units.VMID]int{}, rnd: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // Choose returns the least loaded of a few of the nodes at random. load is the work that a node
@@ -69,7 +70,7 @@
 	}
 	least := 0
 	for num := 0; num < samples && len(list) > 0; num++ {
-		pos := rand.IntN(len(list))
+		pos := ns.rnd.IntN(len(list))
 		id := list[pos]
 		list[pos] = list[len(list)-1]
 		list = list[:len(list)-1]
@@ -80,14 +81,18 @@
 	return best, ok
 }
 
-// Hints returns a few nodes that took requests of a service lately.
+// Hints returns a few nodes, at random, that took requests of a service lately.
 func (ns *Nodes) Hints(now time.Time, service units.TargetID) (out []units.VMID) {
 	for key, at := range ns.good {
-		if key.service == service && now.Sub(at) < goodTime && len(out) < maxHints {
+		if key.service == service && now.Sub(at) < goodTime {
 			out = append(out, key.node)
 		}
 	}
 	slices.Sort(out)
+	for len(out) > maxHints {
+		pos := ns.rnd.IntN(len(out))
+		out = slices.Delete(out, pos, pos+1)
+	}
 	return out
 }
 
