admit: a request whose deadline comes as the node stops is refused

The time of its last answer is now added to the deadline. TestDeadlineAtStopIsCut refuses all 50; the rule's case 'both at once' is stricter than before.

--- a/internal/edge/relay/leave_test.go
+++ b/internal/edge/relay/leave_test.go
@@ -153,3 +153,19 @@
 		}
 	})
 }
+
+// TestDeadlineAtStopIsCut guards against requests whose deadline comes as the node stops, and that are ended by the stop
+// or by the deadline as it happens.
+func TestDeadlineAtStopIsCut(t *testing.T) {
+	for range 50 {
+		synctest.Test(t, func(t *testing.T) {
+			rl, si, rq := newRelay(1), &heldSink{}, request(routes.Route{Stream: true})
+			rl.Drain(admit.Departure{SignalAt: time.Now(), StopsAt: rq.Deadline})
+			time.AfterFunc(time.Until(rq.Deadline), func() { rl.Stop() })
+			rl.Serve(t.Context(), rq, stalled{}, si)
+			if si.status != fasthttp.StatusServiceUnavailable || rl.Counts.Cut.Load() > 0 {
+				t.Fatalf("have status %d, %d cut, want it refused", si.status, rl.Counts.Cut.Load())
+			}
+		})
+	}
+}
--- a/internal/rule/admit/grace.go
+++ b/internal/rule/admit/grace.go
@@ -49,8 +49,11 @@
 	SignalAt, StopsAt time.Time
 }
 
+// answerMargin is the time in which a request that has reached its deadline is answered.
+const answerMargin = 50 * time.Millisecond
+
 // Outlasts reports whether a request may still be in progress when the node stops. Only its deadline bounds it:
 // servers may become slower after it was taken.
 func (de *Departure) Outlasts(deadline time.Time) bool {
-	return de != nil && deadline.After(de.StopsAt)
+	return de != nil && deadline.Add(answerMargin).After(de.StopsAt)
 }
--- a/internal/rule/admit/grace_test.go
+++ b/internal/rule/admit/grace_test.go
@@ -23,7 +23,9 @@
 	}{
 		{"the node doesn't leave", nil, time.Hour, false},
 		{"the deadline comes first", leaves(2 * second), second, false},
-		{"both at once", leaves(second), second, false},
+		{"both at once", leaves(second), second, true},
+		{"the answer takes until the stop", leaves(second), second - 10*time.Millisecond, true},
+		{"there is time for the answer", leaves(second), second - 50*time.Millisecond, false},
 		{"the node stops first", leaves(second), second + time.Millisecond, true},
 		{"long before the deadline", leaves(second), 6 * second, true},
 		{"no grace", leaves(0), 8 * second, true},
