--- a/internal/proof/real_test.go
+++ b/internal/proof/real_test.go
@@ -27,6 +27,7 @@
 //	grace DURATION                          grace of the nodes; must come before up
 //	expired STREAM                          wait until the first record of a stream has expired
 //	revive NODE                             restart a node after it has ended
+//	listening NODE                          wait until a node answers its callers, ready or not
 //	ready|unready NODE                      wait until a node is ready, or is not
 //	gone NAME                               wait until a process has ended
 //	fault NAME JSON                         set the faults of a fake
@@ -81,7 +82,8 @@
 		<-pr.procs[args[0]].done
 		return pr.startNode(args[0])
 	}),
-	"ready": withProcs(func(pr *procs, args []string) error { return pr.awaitHTTP(args[0], "/readyz") }),
+	"listening": withProcs(func(pr *procs, args []string) error { return pr.awaitHTTP(args[0], "/healthz") }),
+	"ready":     withProcs(func(pr *procs, args []string) error { return pr.awaitHTTP(args[0], "/readyz") }),
 	"unready": withProcs(func(pr *procs, args []string) error {
 		return await(args[0]+" not ready", func() error {
 			if code, _, err := pr.get(args[0], "/readyz"); err != nil || code == fasthttp.StatusOK {
