entry, relay: a request asks no further nodes once the path is back

What callers saw: at a node whose path to the servers was cut, a request that found one dead or frozen node after the other (250 ms each, up to 8) went on asking others when the path was back, and was late or refused although its own node reached the servers.

Cause: neither the loop over other nodes in entry.Forward nor its model looked at the path again. Now the request stops asking when the path is back and is sent straight; nothing of it has been sent, so this costs nothing of the retry budget, and a route that may run once may use it.

--- a/internal/bench/crowd/cut.go
+++ b/internal/bench/crowd/cut.go
@@ -302,8 +302,12 @@
 	if !takes {
 		no.passOver(to, after == acceptTimeout)
 		ru.scheduleAfter(after, func() {
-			if !no.down() {
+			switch {
+			case no.down():
+			case no.path.State() == detour.Cut:
 				no.forward(rq, asked)
+			default:
+				no.trySend(rq)
 			}
 		})
 		return
--- a/internal/edge/relay/attempt.go
+++ b/internal/edge/relay/attempt.go
@@ -125,5 +125,5 @@
 // isNotSent reports whether no byte of an attempt can have reached its server.
 func isNotSent(err error) bool {
 	return fault.Is(err, KindNotSent) || fault.Is(err, KindLeaving) || fault.Is(err, KindLimited) || fault.Is(err, KindResting) || fault.Is(err, KindBlocked) ||
-		fault.Is(err, KindCut) || fault.Is(err, KindNoDetour)
+		fault.Is(err, KindCut) || fault.Is(err, KindNoDetour) || fault.Is(err, KindPathBack)
 }
--- a/internal/edge/relay/detour.go
+++ b/internal/edge/relay/detour.go
@@ -23,7 +23,8 @@
 // Detours sends requests through other nodes.
 type Detours interface {
 	// Forward sends a request through another node and reads the response header. The error is
-	// of KindNoDetour if no node could take it, otherwise of KindBroken.
+	// of KindNoDetour if no node could take it, of KindPathBack if none had when the path was back,
+	// otherwise of KindBroken.
 	Forward(ctx context.Context, fw *Forward) (*Reply, error)
 }
 
@@ -47,6 +48,8 @@
 	// Withheld reports whether the request must not be sent any more, since this node is leaving. It has to be
 	// checked right before the other node may run it, where it is nil.
 	Withheld func() bool
+	// Back reports whether this node reaches the servers again, nil if that is not known.
+	Back func() bool
 }
 
 // Refusal is the end of a forwarded request without a response.
@@ -306,6 +309,7 @@
 		ID: rq.ID, Config: rq.Config, Service: rq.Service, Header: header, Body: body, Arrived: rq.Arrived, Deadline: rq.Deadline,
 		Attempts: attempts, LastEvent: ru.lastEvent, Version: ru.ask.Version, Counted: ru.counted,
 		Withheld: withheld,
+		Back:     func() bool { return !ru.rl.IsCut(rq.Service) },
 	})
 	if err != nil {
 		return ru.why(callerCtx, ctx, err)
--- a/internal/edge/relay/detour_test.go
+++ b/internal/edge/relay/detour_test.go
@@ -42,10 +42,15 @@
 
 // newCutRelay returns a relay whose path to its two servers is cut.
 func newCutRelay(t *testing.T, de relay.Detours) *relay.Relay {
+	t.Helper()
+	return newCutRelayWith(t, de, func(context.Context, *server.Server) error { return fault.New("test", relay.KindNotSent, "refused") })
+}
+
+// newCutRelayWith returns one that opens connections by a function.
+func newCutRelayWith(t *testing.T, de relay.Detours, probe func(context.Context, *server.Server) error) *relay.Relay {
 	t.Helper()
 	rl := newRelay(2)
-	rl.Detours = de
-	rl.Probe = func(context.Context, *server.Server) error { return fault.New("test", relay.KindNotSent, "refused") }
+	rl.Detours, rl.Probe = de, probe
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -57,6 +57,9 @@
 	KindCut Kind = "cut"
 	// KindNoDetour marks an attempt that was not sent since no other node could take it.
 	KindNoDetour Kind = "no_detour"
+	// KindPathBack marks an attempt that was not sent since this node reaches the servers again, while no
+	// other node had taken it yet.
+	KindPathBack Kind = "path_back"
 	// KindErrored marks an attempt for which the server returned an error response.
 	KindErrored Kind = "errored"
 	// KindBroken marks an attempt whose response was truncated or malformed.
--- a/internal/node/entry/forward.go
+++ b/internal/node/entry/forward.go
@@ -95,6 +95,9 @@
 			return rp, relayError(op, relay.KindBroken, err)
 		}
 		last = err
+		if fw.Back != nil && fw.Back() {
+			return nil, relayError(op, relay.KindPathBack, last)
+		}
 	}
 	return nil, relayError(op, relay.KindNoDetour, fault.New(op, KindForward, "no other node takes requests of %s: %s", fw.Service, last))
 }
