entry: orders log their need, and failed accepts of callers' connections are logged

After all nodes had lost power a new lease holder ordered no server in any zone, and callers were refused. servers_ordered told the demand but not the need, so that a need that was never computed (0 and 0) looked like one for a demand of 0 (3 and 6). It now has both, and whether the demand comes from a record of the lease; duty_taken has the uptime and the configuration.

--- a/internal/edge/door/door.go
+++ b/internal/edge/door/door.go
@@ -88,6 +88,8 @@
 	// Bodies is what the bodies of the requests in progress may take, nil for no bound. Bodies of up to
 	// memory.FreeBytes don't count.
 	Bodies *memory.Budget
+	// AcceptFailed is told of each connection that could not be accepted, unless it is nil.
+	AcceptFailed func(error)
 
 	readers  sync.Pool
 	draining atomic.Bool
@@ -122,6 +124,9 @@
 			return fault.Wrap(op, KindListen, err)
 		}
 		if err != nil { // Out of file descriptors, or the caller disconnected before the accept.
+			if sv.AcceptFailed != nil {
+				sv.AcceptFailed(err)
+			}
 			time.Sleep(time.Millisecond)
 			continue
 		}
--- a/internal/node/entry/duty.go
+++ b/internal/node/entry/duty.go
@@ -332,7 +332,7 @@
 	if held {
 		event = "duty_taken"
 	}
-	no.log.Info(event, zap.Int64("fence", int64(fence)))
+	no.log.Info(event, zap.Int64("fence", int64(fence)), zap.Duration("uptime", no.uptime()), zap.Uint64("config", uint64(no.config.Load().version())))
 }
 
 // reportUsage closes the usage windows that are due, and reports all closed windows that the
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -167,6 +167,7 @@
 	forwards     *forwards
 	leader       leaderState
 	unreadable   unreadable
+	acceptErrors acceptErrors
 	rollouts     rollouts
 }
 
@@ -208,7 +209,7 @@
 	no.relay.Detours = no.forwards
 	handler, forwarded := pf.Handler(View{Relay: no.relay, Config: no.inForce, Behind: no.isConfigBehind})
 	no.forwards.handler = forwarded
-	no.door = &door.Server{Handler: handler, Limits: no.limits}
+	no.door = &door.Server{Handler: handler, Limits: no.limits, AcceptFailed: no.acceptFailed}
 	if total := set.Limits.Memory(); total > 0 {
 		no.door.Bodies = memory.NewBudget(total / requestShare)
 	}
--- a/internal/node/entry/order.go
+++ b/internal/node/entry/order.go
@@ -196,9 +196,12 @@
 		return false
 	}
 	err := no.platform.Cloud.Scale(ctx, fence, key.service, key.zone, key.spot, count)
-	no.leader.orders.sent[key] = scale.Sent{Count: count, At: time.Now(), Accepted: err == nil}
+	od := &no.leader.orders
+	od.sent[key] = scale.Sent{Count: count, At: time.Now(), Accepted: err == nil}
+	need := od.need[key.service]
 	no.log.Info("servers_ordered", zap.String("service", string(key.service)), zap.String("zone", string(key.zone)),
 		zap.Bool("spot", key.spot), zap.Int("count", count), zap.Int("have", have), zap.Float64("demand", float64(rate)),
+		zap.Int("need_on_demand", need.OnDemand), zap.Int("need_total", need.Total), zap.Bool("demand_restored", od.restored), zap.Duration("uptime", no.uptime()),
 		zap.Float64("read_rate", float64(no.relay.PrefillRate(key.service))),
 		zap.Int64("fence", int64(fence)), zap.Bool("accepted", err == nil), zap.Error(err))
 	return true
--- a/internal/node/entry/ready.go
+++ b/internal/node/entry/ready.go
@@ -87,7 +87,7 @@
 			defer no.mu.Unlock()
 			return no.watch.Age(watch.Config, time.Now()).Milliseconds()
 		},
-		"servers_draining":   no.draining.Load,
+		"servers_draining": no.draining.Load, "accepts_failed_total": no.acceptErrors.count,
 		"rollouts_running":   no.rolloutsRunning,
 		"rollouts_known":     func() int64 { return int64(len(no.orderedServices())) },
 		"services_unreached": func() int64 { return int64(len(no.relay.Unreached())) },
