--- a/internal/node/entry/reachnet_test.go
+++ b/internal/node/entry/reachnet_test.go
@@ -68,6 +68,24 @@
 	st.change = make(chan struct{})
 }
 
+// appendLease appends records of the lease if the stream ends at an offset.
+func (st *reachStore) appendLease(at units.Offset, records [][]byte) (units.Offset, error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	end := units.Offset(len(st.streams[leaseStream]))
+	if time.Now().Before(st.downTo) {
+		return 0, fault.New("entry.appendLease", stream.KindUnavailable, "down")
+	}
+	if at != end {
+		return 0, fault.New("entry.appendLease", stream.KindConflict, "the stream ends at %d", end)
+	}
+	for idx, rec := range records {
+		it, _ := splitRecord(end+units.Offset(idx), rec)
+		st.streams[leaseStream] = append(st.streams[leaseStream], it)
+	}
+	return end, nil
+}
+
 // putConfig writes a version of the configuration with about so many bytes once it is packed.
 func (st *reachStore) putConfig(version units.Version, size int) {
 	raw := make([]byte, 8+size)
@@ -152,9 +170,15 @@
 	}
 }
 
-// Append implements stream.Store.
-func (no *reachNode) Append(context.Context, stream.Name, units.Offset, ...[]byte) (units.Offset, error) {
-	return 0, nil
+// Append implements stream.Store. Only records of the lease are kept.
+func (no *reachNode) Append(ctx context.Context, na stream.Name, at units.Offset, records ...[]byte) (units.Offset, error) {
+	if na != leaseStream {
+		return 0, nil
+	}
+	return reachCall(ctx, no, na, 0, func(context.Context) (units.Offset, int, error) {
+		end, err := no.fl.store.appendLease(at, records)
+		return end, 0, err
+	})
 }
 
 // Newest implements stream.Store.
@@ -318,10 +342,22 @@
 	rnd       *rand.Rand
 	decode    time.Duration
 	servers   []*reachServer
-	wg        conc.WaitGroup
+	// prepare changes a node before it starts, and returns further loops of it. It may be nil.
+	prepare func(*reachNode, *Node) []func(context.Context)
+	wg      conc.WaitGroup
 }
 
 func newReachFleet(ctx context.Context, count int, seed uint64) *reachFleet {
+	fl := newReachModel(count, seed)
+	for num := range count {
+		fl.start(ctx, num)
+	}
+	fl.startServers(ctx)
+	return fl
+}
+
+// newReachModel returns a fleet of which nothing has started.
+func newReachModel(count int, seed uint64) *reachFleet {
 	fl := &reachFleet{
 		store:     &reachStore{change: make(chan struct{}), streams: map[stream.Name][]stream.Keyed{}, acked: map[units.Version]time.Time{}},
 		byAddress: map[string]*reachNode{}, rnd: rand.New(rand.NewPCG(seed, 0)), decode: 60 * time.Millisecond,
@@ -337,10 +373,6 @@
 		fl.nodes = append(fl.nodes, no)
 		fl.byAddress[reachAddress(num)] = no
 	}
-	for num := range count {
-		fl.start(ctx, num)
-	}
-	fl.startServers(ctx)
 	return fl
 }
 
@@ -354,7 +386,7 @@
 		Timing: reachTiming(len(fl.nodes)),
 	}, Platform{
 		Store: no, OperatorStream: reachOperators, ConfigKey: "config", ServerStream: reachServers,
-		DecodeRecord: splitRecord, EncodeRecord: func(string, []byte) []byte { return nil },
+		DecodeRecord: splitRecord, EncodeRecord: func(key string, value []byte) []byte { return append([]byte(key+" "), value...) },
 		DecodeServer: decodeStatus, DecodeConfig: no.decodeConfig,
 		Handler: func(View) (door.Handler, ForwardHandler) { return nil, nil },
 	}, reachLog(no.id))
@@ -365,7 +397,11 @@
 	no.startedAt, no.handledBy = no.since, 0
 	no.proc, no.stop = nd, stop
 	no.mu.Unlock()
-	for _, loop := range []func(context.Context){nd.followConfig, nd.followServers, nd.exchangeLoop, nd.fetchConfigs, nd.tick} {
+	loops := []func(context.Context){nd.followConfig, nd.followServers, nd.exchangeLoop, nd.fetchConfigs, nd.tick}
+	if fl.prepare != nil {
+		loops = append(loops, fl.prepare(no, nd)...)
+	}
+	for _, loop := range loops {
 		delay := time.Duration(fl.rnd.IntN(300)) * time.Millisecond
 		fl.wg.Go(func() {
 			pause.For(ctx, delay)
