entry, scale: a new lease holder gives no servers back before it knows that they are surplus

After all nodes of a grown site had lost power, the node that took the lease ordered 0 on-demand servers in each zone where 9 to 20 served; callers were refused for up to 14 s.

Cause: what the holder didn't know counted as none. The need was computed at the start of a round, so that a configuration which came into force within the round met a need of 0 servers; a demand of 0, at a start or in a record of the lease, counted as measured; servers that an earlier holder had ordered and that still started, and zones without spot servers, were not known.

A demand is settled once traffic and all sources were measured for 6 s; until then the holder before counts if higher, and records carry only what is known. The record has what is ordered before the order is sent.

--- a/internal/node/entry/duty.go
+++ b/internal/node/entry/duty.go
@@ -57,8 +57,10 @@
 	// Unsure is the last usage window that a holder may have reported with counts that are not in the
 	// ledger, since the store has lost records.
 	Unsure usage.Window `json:"unsure,omitempty"`
-	// Demand is the demand for each service on which the leader's orders were based.
+	// Demand is the demand for each service, where the leader knows it.
 	Demand map[units.TargetID]units.TokensPerSecond `json:"demand,omitempty"`
+	// Ordered are the numbers of servers that are ordered.
+	Ordered []groupOrder `json:"ordered,omitempty"`
 	// Versions are the software versions that servers have had lately. A node that starts takes
 	// no stream up at the only version that serves if others may have begun it.
 	Versions map[units.TargetID]origin.Ages `json:"versions,omitempty"`
@@ -257,7 +259,7 @@
 	}
 	no.leader.lease.Read(no.leader.now(), it.Offset, rec.Holder)
 	no.leader.unsure = max(no.leader.unsure, rec.Unsure)
-	no.leader.orders.restore(rec.Demand)
+	no.leader.orders.restore(time.Now(), &rec)
 	no.relay.RestoreVersions(time.Now(), rec.Versions)
 	no.leader.mu.Lock()
 	no.leader.ledger.Merge(rec.Ledger)
@@ -288,7 +290,7 @@
 	no.updateUnsure()
 	rec := leaseRecord{
 		Holder: lease.Holder{Node: no.settings.VM.ID, Incarnation: no.incarnation}, Era: ld.lease.Era(), Ledger: usage.Ledger{}, Unsure: ld.unsure,
-		Demand: ld.orders.rates(), Versions: no.relay.Versions(time.Now()),
+		Demand: ld.orders.knownDemands(time.Now()), Ordered: ld.orders.groupOrders(), Versions: no.relay.Versions(time.Now()),
 	}
 	ld.mu.Lock()
 	rec.Ledger.Merge(ld.ledger)
--- a/internal/node/entry/ordernet_test.go
+++ b/internal/node/entry/ordernet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,6 +23,8 @@
 	orderedService units.TargetID = "app"
 	// orderedBoot is how long an ordered server takes to start.
 	orderedBoot = 4 * time.Second
+	// orderedStop is how long a server is still listed that is given back.
+	orderedStop = 1500 * time.Millisecond
 	// orderedDemand is the demand for each node.
 	orderedDemand units.TokensPerSecond = 46_000
 	orderedPrompt units.Tokens          = 4_600
@@ -63,8 +66,9 @@
 	oc.calls = append(oc.calls, fmt.Sprintf("%s %s spot=%t %d", time.Now().Format("05.000"), zone, spot, count))
 	oc.targets[key] = count
 	for len(oc.up[key]) > count {
-		oc.fl.store.put(reachServers, oc.up[key][0], nil)
+		id := oc.up[key][0]
 		oc.up[key] = oc.up[key][1:]
+		time.AfterFunc(orderedStop, func() { oc.fl.store.put(reachServers, id, nil) })
 	}
 	time.AfterFunc(orderedBoot, func() { oc.startUp(key, count) })
 	return nil
@@ -107,11 +111,14 @@
 	*reachFleet
 	cloud *orderCloud
 	epoch time.Time
+	// share is the part of the demand that is offered, in percent.
+	share atomic.Int64
 }
 
 func newOrderFleet(ctx context.Context, nodes int) *orderFleet {
 	fl := newReachModel(nodes, 1)
 	of := &orderFleet{reachFleet: fl, cloud: &orderCloud{fl: fl, targets: map[orderKey]int{}, up: map[orderKey][]string{}}, epoch: time.Now()}
+	of.share.Store(100)
 	fl.prepare = func(no *reachNode, nd *Node) []func(context.Context) {
 		set := *nd.settings
 		set.Timing.LeaseMS, set.Orders = float64(orderLease.Milliseconds()), orderedPolicy
@@ -119,7 +126,7 @@
 		nd.platform.OrdersServers, nd.platform.Cloud, nd.platform.DecodeServer = true, of.cloud, decodeOrdered
 		nd.platform.DecodeConfig = of.decoder(no)
 		nd.leader.now = func() time.Duration { return time.Since(of.epoch) }
-		return []func(context.Context){nd.leaderLoop, func(ctx context.Context) { offer(ctx, nd) }}
+		return []func(context.Context){nd.leaderLoop, func(ctx context.Context) { of.offer(ctx, nd) }}
 	}
 	for num := range nodes {
 		fl.start(ctx, num)
@@ -144,10 +151,10 @@
 }
 
 // offer sends a node its part of the demand while it is ready.
-func offer(ctx context.Context, nd *Node) {
+func (of *orderFleet) offer(ctx context.Context, nd *Node) {
 	for pause.For(ctx, time.Duration(float64(orderedPrompt)/float64(orderedDemand)*float64(time.Second))) {
 		if nd.isReady() {
-			nd.RecordDemand(orderedService, orderedPrompt)
+			nd.RecordDemand(orderedService, orderedPrompt*units.Tokens(of.share.Load())/100)
 		}
 	}
 }
@@ -268,6 +275,31 @@
 	}
 }
 
+// TestGivenBackServersAreOrderedAgain guards against a holder that takes servers that it has given back for serving, and against one that keeps
+// servers for a demand that has fallen.
+func TestGivenBackServersAreOrderedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		of := newOrderFleet(ctx, 8)
+		defer of.wg.Wait()
+		defer stop()
+		time.Sleep(16 * time.Second)
+		of.share.Store(20)
+		raised := 0
+		for start, last := time.Now(), of.cloud.ordered(); time.Since(start) < 60*time.Second; time.Sleep(20 * time.Millisecond) {
+			have := of.cloud.ordered()
+			if have.Total > last.Total {
+				raised++
+			}
+			last = have
+		}
+		want := orderedPolicy.Need(orderedDemand*8/5, 0, 0, scale.Need{})
+		if have := of.cloud.ordered(); raised > 0 || have.Total > want.Total+1 {
+			t.Errorf("after the demand fell: have %+v ordered and %d larger orders, want about %+v and none", have, raised, want)
+		}
+	})
+}
+
 func playOrders(t *testing.T, nodes int, play func(context.Context, *orderFleet)) {
 	ctx, stop := context.WithCancel(t.Context())
 	of := newOrderFleet(ctx, nodes)
--- a/internal/rule/scale/demand.go
+++ b/internal/rule/scale/demand.go
@@ -25,8 +25,15 @@
 	maxLateFactor      = 2
 )
 
+const (
+	// settleTime is the time of traffic after which the estimate is that of a node that has just started.
+	settleTime = 4 * riseTimeConstant
+	// idleTime is the time without traffic after which there is taken to be none.
+	idleTime = time.Minute
+)
+
 // Demand estimates the prompt tokens per second offered to one service, from totals that nodes
-// report. It is not safe for concurrent use.
+// report. Until it is settled, an earlier lease holder's estimate counts if it is higher. It is not safe for concurrent use.
 type Demand struct {
 	totals    map[string]Totals
 	sinceLast Totals
@@ -35,6 +42,12 @@
 	// all adds up what has been reported.
 	all        Totals
 	measuredAt time.Time
+	// startedAt is the first measurement, trafficAt the first one with requests, and sourceAt the last one with a new source
+	// before the estimate was settled.
+	startedAt, trafficAt, sourceAt time.Time
+	hasNewSource, settled          bool
+	// inherited is the estimate of an earlier lease holder, 0 if there is none.
+	inherited units.TokensPerSecond
 }
 
 // Totals are the work offered to one incarnation of a node since its start.
@@ -50,6 +63,7 @@
 // source sets the base from which later ones count.
 func (de *Demand) Report(source string, total Totals) {
 	before, known := de.totals[source]
+	de.hasNewSource = de.hasNewSource || !known
 	if known && total.Requests >= before.Requests {
 		de.sinceLast.add(total, before)
 		de.all.add(total, before)
@@ -78,23 +92,64 @@
 	return held
 }
 
-// SetInitial sets the demand that an earlier lease holder estimated, unless this one already
-// has an estimate.
+// SetInitial sets the demand that an earlier lease holder estimated. One of 0 tells nothing.
 func (de *Demand) SetInitial(rate units.TokensPerSecond) {
-	if de.rate == 0 {
-		de.rate = float64(rate)
+	if rate > 0 {
+		de.inherited = rate
+	}
+}
+
+// IsInherited reports whether an earlier lease holder's estimate is known.
+func (de *Demand) IsInherited() bool { return de.inherited > 0 }
+
+// IsSettled reports whether the estimate rests on enough traffic, of all sources, to give servers back.
+func (de *Demand) IsSettled(now time.Time) bool {
+	switch {
+	case de.settled:
+		return true
+	case de.startedAt.IsZero():
+		return false
+	case de.trafficAt.IsZero():
+		return now.Sub(de.startedAt) >= idleTime
 	}
+	return now.Sub(de.trafficAt) >= settleTime && now.Sub(de.sourceAt) >= settleTime
 }
 
-// Rate returns the smoothed demand at now, increased for late answers.
+// Rate returns the demand at now, increased for late answers.
 func (de *Demand) Rate(now time.Time) units.TokensPerSecond {
+	de.measure(now)
+	rate := units.TokensPerSecond(de.rate)
+	if de.IsSettled(now) {
+		return rate
+	}
+	return max(rate, de.inherited)
+}
+
+// Known returns the demand at now for later lease holders, 0 if it is not known.
+func (de *Demand) Known(now time.Time) units.TokensPerSecond {
+	if !de.IsSettled(now) && !de.IsInherited() {
+		return 0
+	}
+	return de.Rate(now)
+}
+
+// measure updates the smoothed demand with what was reported since the last call.
+func (de *Demand) measure(now time.Time) {
+	if de.trafficAt.IsZero() && de.sinceLast.Requests > 0 {
+		de.trafficAt = now
+	}
+	if de.hasNewSource && !de.settled {
+		de.sourceAt = now
+	}
+	de.hasNewSource = false
+	de.settled = de.IsSettled(now)
 	if de.measuredAt.IsZero() {
-		de.measuredAt, de.sinceLast = now, Totals{}
-		return units.TokensPerSecond(de.rate)
+		de.startedAt, de.measuredAt, de.sinceLast = now, now, Totals{}
+		return
 	}
 	gap := now.Sub(de.measuredAt)
 	if gap <= 0 {
-		return units.TokensPerSecond(de.rate)
+		return
 	}
 	offered := float64(de.sinceLast.Prompt) / gap.Seconds()
 	if de.sinceLast.Requests > 0 {
@@ -109,5 +164,4 @@
 	}
 	weight := 1 - math.Exp(-gap.Seconds()/timeConstant.Seconds())
 	de.rate += (offered - de.rate) * weight
-	return units.TokensPerSecond(de.rate)
 }
--- a/internal/rule/scale/sent.go
+++ b/internal/rule/scale/sent.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// retryPeriod is the time after which an order that was refused, or that is no longer met, is sent again.
-	retryPeriod = 2 * time.Second
+	// RetryPeriod is the time after which an order that was refused, or that is no longer met, is sent again.
+	RetryPeriod = 2 * time.Second
 	// confirmPeriod is the time after which an order is sent again even if it is met, since a late call of
 	// an earlier leader may have overwritten it. One that has an effect shows in the number of servers.
 	confirmPeriod = 30 * time.Second
@@ -33,13 +33,13 @@
 	case se.At.IsZero():
 		return want != 0 || have != 0
 	case !se.Accepted:
-		return age >= retryPeriod
+		return age >= RetryPeriod
 	case se.Count != want:
 		return true
 	case have == want:
 		return age >= confirmPeriod
 	case !se.Met:
-		return age >= boot+retryPeriod
+		return age >= boot+RetryPeriod
 	}
-	return age >= retryPeriod
+	return age >= RetryPeriod
 }
