entry, door: a node is ready only while its callers' listener accepts connections

Readiness looked only at the configuration and the list of servers, on a listener of its own.

Without a new connection of a caller for 0.5 s the node opens one to its own listener, and after 2 s without any it is not ready, until one is accepted. Out of file descriptors or memory, the server closes idle connections to accept others. A busy node opens no connections of its own.

--- a/internal/edge/door/door.go
+++ b/internal/edge/door/door.go
@@ -9,6 +9,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -99,6 +100,8 @@
 	stopped  bool
 	// listeners are those of Serve.
 	listeners []net.Listener
+	// acceptedAt is when a connection was last accepted.
+	acceptedAt time.Time
 }
 
 // Serve accepts connections on ls until ctx ends or Close is called, and then closes the idle ones and waits for the
@@ -127,13 +130,54 @@
 			if sv.AcceptFailed != nil {
 				sv.AcceptFailed(err)
 			}
+			if isExhausted(err) {
+				sv.closeSomeIdle()
+			}
 			time.Sleep(time.Millisecond)
 			continue
 		}
+		sv.noteAccept()
 		wg.Go(func() { sv.serveConn(ctx, &conn{Conn: cn}) })
 	}
 }
 
+// AcceptedAt returns when a connection was last accepted, zero before the first one.
+func (sv *Server) AcceptedAt() time.Time {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.acceptedAt
+}
+
+func (sv *Server) noteAccept() {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.acceptedAt = time.Now()
+}
+
+// isExhausted reports whether an accept failed for want of file descriptors or memory.
+func isExhausted(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
+
+// closedIdle is the number of idle connections that are closed to accept others.
+const closedIdle = 16
+
+// closeSomeIdle closes some of the connections that wait for their next request.
+func (sv *Server) closeSomeIdle() {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	closed := 0
+	for cn := range sv.idle {
+		if closed == closedIdle {
+			return
+		}
+		if cn.unread() == 0 {
+			_ = cn.Close()
+			closed++
+		}
+	}
+}
+
 // Drain makes the server close connections after their next response, and idle ones after idleCloseDelay. Their
 // callers then open new ones, which the balancer can send elsewhere.
 func (sv *Server) Drain(ctx context.Context) {
--- a/internal/node/entry/accept.go
+++ b/internal/node/entry/accept.go
@@ -1,12 +1,45 @@
 package entry
 
 import (
+	"context"
+	"net"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
+
+	"lycheepick/internal/edge/pause"
+)
+
+const (
+	// acceptCheckPeriod is the time without a new connection of a caller after which the node opens one itself.
+	acceptCheckPeriod = 500 * time.Millisecond
+	// listenerTimeout is the time without a new connection after which a node is not ready: its listener takes none.
+	listenerTimeout = 4 * acceptCheckPeriod
 )
 
+// watchAccepts keeps opening connections to the callers' listener until ctx ends, unless callers do.
+func (no *Node) watchAccepts(ctx context.Context) {
+	di := net.Dialer{Timeout: listenerTimeout}
+	for wasAccepting := true; ; {
+		if time.Since(no.door.AcceptedAt()) >= acceptCheckPeriod {
+			if cn, err := di.DialContext(ctx, "tcp", no.settings.Listen.Callers); err == nil {
+				_ = cn.Close()
+			}
+		}
+		if !pause.For(ctx, acceptCheckPeriod) {
+			return
+		}
+		if is := no.isAccepting(); is != wasAccepting {
+			wasAccepting = is
+			no.log.Warn("accepting_changed", zap.Bool("accepting", is), zap.Duration("last_accept", time.Since(no.door.AcceptedAt())))
+		}
+	}
+}
+
+// isAccepting reports whether the callers' listener takes connections.
+func (no *Node) isAccepting() bool { return time.Since(no.door.AcceptedAt()) < listenerTimeout }
+
 // acceptLogPeriod is the shortest interval between two lines about connections of callers that can't be accepted.
 const acceptLogPeriod = time.Second
 
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -288,6 +288,7 @@
 	wg.Go(func() { no.origins.run(work) })
 	wg.Go(func() { no.tick(work) })
 	wg.Go(func() { no.watchSignal(ctx) })
+	wg.Go(func() { no.watchAccepts(work) })
 	wg.Go(func() { no.relay.WatchPaths(work) })
 	// Also without duties, as the record of the lease keeps the software versions for nodes that start.
 	no.relay.AwaitVersions()
--- a/internal/node/entry/forward.go
+++ b/internal/node/entry/forward.go
@@ -362,7 +362,7 @@
 func (fo *forwards) admits(of *pulse.Offer, count, total int64) error {
 	const op = "entry.admits"
 	switch {
-	case fo.handler == nil || fo.no.leaving.Load() || !fo.no.isReady():
+	case fo.handler == nil || !fo.no.canServe():
 		return fault.New(op, KindForward, "this node serves no requests")
 	case fo.no.relay.IsCut(of.Service):
 		return fault.New(op, KindForward, "this node doesn't reach the servers of %s", of.Service)
--- a/internal/node/entry/ordernet_test.go
+++ b/internal/node/entry/ordernet_test.go
@@ -153,7 +153,7 @@
 // offer sends a node its part of the demand while it is ready.
 func (of *orderFleet) offer(ctx context.Context, nd *Node) {
 	for pause.For(ctx, time.Duration(float64(orderedPrompt)/float64(orderedDemand)*float64(time.Second))) {
-		if nd.isReady() {
+		if nd.canServe() {
 			nd.RecordDemand(orderedService, orderedPrompt*units.Tokens(of.share.Load())/100)
 		}
 	}
--- a/internal/node/entry/ready.go
+++ b/internal/node/entry/ready.go
@@ -27,9 +27,12 @@
 	}}
 }
 
-// isReady reports whether the node is not leaving and has both a configuration and the list
+// isReady reports whether the node can serve requests and accepts connections of callers.
+func (no *Node) isReady() bool { return no.canServe() && no.isAccepting() }
+
+// canServe reports whether the node is not leaving and has both a configuration and the list
 // of servers.
-func (no *Node) isReady() bool {
+func (no *Node) canServe() bool {
 	return !no.leaving.Load() && no.config.Load() != nil && no.serversLoaded.Load()
 }
 
