call: an answer with an invalid field in its head or trailer is a failure of its server

Cause: names and values were left to fasthttp, which takes any bytes as a name. A recipient that ignores the blank in "Transfer-Encoding : chunked" reads another body. fasthttp also joins a value that goes on in the next line in its buffer, and the bytes after it change: "kk" for "ok".

Every line of a head, interim head and trailer must now be a field whose name is a token and whose value has no CR or NUL (RFC 9110, 5.1, 5.5); lines that continue are refused (RFC 9112, 5.2 allows 502). The status line may hold neither. All heads are read here: both doors, forwarded answers, the platform's store and cloud API.

--- a/internal/edge/call/body.go
+++ b/internal/edge/call/body.go
@@ -130,7 +130,7 @@
 const maxTrailer = 8 << 10
 
 // readTrailer reads up to the empty line after the last chunk, which httputil's chunked reader
-// leaves unread, so that the connection can be reused. The fields before it are discarded.
+// leaves unread, so that the connection can be reused. The fields before it have to be valid, and are discarded.
 func (bo *Body) readTrailer() error {
 	for left := maxTrailer; left > 0; {
 		line, err := bo.rd.ReadSlice('\n')
@@ -141,6 +141,9 @@
 			bo.atEnd = true
 			return io.EOF
 		}
+		if err := checkField(line); err != nil {
+			return err
+		}
 		left -= len(line)
 	}
 	return errors.Errorf("a trailer of more than %d bytes", maxTrailer)
--- a/internal/edge/call/head.go
+++ b/internal/edge/call/head.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxInterim bounds the interim (1xx) responses before an answer.
@@ -29,8 +30,9 @@
 	return errors.Errorf("more than %d interim responses", maxInterim)
 }
 
-// ReadHead reads a response header whose status is from 100 to 599, and whose length is one number. fasthttp doesn't check the status, and
-// returns 200 for one of 0; of several lengths it takes the last, so that a part of a body would count as all of it.
+// ReadHead reads a response header whose status is from 100 to 599, whose fields have valid names, and whose length is one number. fasthttp
+// doesn't check the status, and returns 200 for one of 0; it takes any bytes as a name, so that another recipient would read other fields; and
+// of several lengths it takes the last, so that a part of a body would count as all of it.
 func ReadHead(hd *fasthttp.ResponseHeader, rd *bufio.Reader) error {
 	hd.Reset()
 	line, err := peekLine(rd)
@@ -44,6 +46,9 @@
 	if err != nil {
 		return err
 	}
+	if err := checkFields(head); err != nil {
+		return err
+	}
 	lengthErr := checkLength(head)
 	if err := hd.Read(rd); err != nil {
 		return err
@@ -105,23 +110,57 @@
 	for _, ch := range status {
 		valid = valid && ch >= '0' && ch <= '9'
 	}
-	if !valid {
+	if !valid || !isValidText(trimLineEnd(line)) {
 		return errors.Errorf("invalid status line %.40q", line)
 	}
 	return nil
 }
 
-// checkLength returns an error if a header states a length that is no number, or lengths that differ. A name with a space before its
-// colon is none for fasthttp, but the length of the body for its server.
+// checkFields returns an error unless all fields of a header are valid.
+func checkFields(head []byte) error {
+	lines := bytes.SplitAfter(head, []byte("\n"))[1:] // Without the status line.
+	for _, line := range lines {
+		if len(line) == 0 {
+			continue // After the last line.
+		}
+		if err := checkField(line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkField returns an error unless a line is a valid field (RFC 9110, 5.1 and 5.5). A value that goes on in the next line (RFC 9112, 5.2) is
+// not: fasthttp joins the lines in its buffer, and the body after them is then not the one of the server.
+func checkField(line []byte) error {
+	name, value, found := bytes.Cut(trimLineEnd(line), []byte(":"))
+	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
+		return errors.Errorf("invalid field name %.40q", line)
+	}
+	if !isValidText(value) {
+		return errors.Errorf("invalid field value %.40q", line)
+	}
+	return nil
+}
+
+// trimLineEnd returns a line without what ends it.
+func trimLineEnd(line []byte) []byte {
+	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+}
+
+// isValidText reports whether bytes of a header can't be taken for the end of a line.
+func isValidText(text []byte) bool { return !bytes.ContainsAny(text, "\r\n\x00") }
+
+// checkLength returns an error if a header states a length that is no number, or lengths that differ.
 func checkLength(head []byte) error {
 	var length []byte
 	for _, line := range bytes.Split(head, []byte("\n"))[1:] {
 		name, value, _ := bytes.Cut(line, []byte(":"))
-		if !bytes.EqualFold(bytes.TrimRight(name, " \t"), []byte(fasthttp.HeaderContentLength)) {
+		if !bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)) {
 			continue
 		}
 		value = bytes.TrimSpace(value)
-		valid := len(value) > 0 && len(name) == len(fasthttp.HeaderContentLength) && (length == nil || bytes.Equal(value, length))
+		valid := len(value) > 0 && (length == nil || bytes.Equal(value, length))
 		for _, ch := range value {
 			valid = valid && ch >= '0' && ch <= '9'
 		}
