--- a/internal/node/entry/accept.go
+++ b/internal/node/entry/accept.go
@@ -16,9 +16,11 @@
 	acceptCheckPeriod = 500 * time.Millisecond
 	// listenerTimeout is the time without a new connection after which a node is not ready: its listener takes none.
 	listenerTimeout = 4 * acceptCheckPeriod
+	// acceptLogPeriod is the shortest interval between two lines about connections of callers that can't be accepted.
+	acceptLogPeriod = time.Second
 )
 
-// watchAccepts keeps opening connections to the callers' listener until ctx ends, unless callers do.
+// watchAccepts keeps opening connections to the callers' listener until ctx ends or the node leaves, unless callers do.
 func (no *Node) watchAccepts(ctx context.Context) {
 	di := net.Dialer{Timeout: listenerTimeout}
 	for wasAccepting := true; ; {
@@ -27,7 +29,7 @@
 				_ = cn.Close()
 			}
 		}
-		if !pause.For(ctx, acceptCheckPeriod) {
+		if !pause.For(ctx, acceptCheckPeriod) || no.leaving.Load() {
 			return
 		}
 		if is := no.isAccepting(); is != wasAccepting {
@@ -40,9 +42,6 @@
 // isAccepting reports whether the callers' listener takes connections.
 func (no *Node) isAccepting() bool { return time.Since(no.door.AcceptedAt()) < listenerTimeout }
 
-// acceptLogPeriod is the shortest interval between two lines about connections of callers that can't be accepted.
-const acceptLogPeriod = time.Second
-
 // acceptErrors counts the connections of callers that could not be accepted. The zero value is ready for use.
 type acceptErrors struct {
 	mu       sync.Mutex
--- a/internal/node/entry/order.go
+++ b/internal/node/entry/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -225,8 +226,10 @@
 	}
 	groups = release.Bound(now, groups, boot, steady > 0 && od.demandOf(se.ID).IsSettled(now))
 	due := no.dueOrders(now, fitZones(groups, planned, have, se.Scaling.MaxServers), have, boot)
+	before := maps.Clone(od.ordered)
 	if od.raise(now, due) && !no.appendLease(ctx, nil) {
-		return // A later holder would not know of the servers that start.
+		od.ordered = before // A later holder would not know of servers that start.
+		return
 	}
 	for _, gr := range due {
 		if !no.sendOrder(ctx, gr.Key, gr.Want, have[gr.Key]) {
