scale: servers that were surplus from the start are given back once the demand is settled

When a system starts for the first time, servers that the prior doesn't need were kept for 6 s of traffic and 4 s more, at the price of servers on demand.

--- a/internal/rule/scale/release.go
+++ b/internal/rule/scale/release.go
@@ -55,9 +55,9 @@
 // isSurplus reports whether a group that has more servers than are wanted may give some back.
 func (re *Release[K]) isSurplus(now time.Time, key K, boot time.Duration, known bool) bool {
 	since, ok := re.surplusSince[key]
-	if !known || !ok {
+	if !ok {
 		re.surplusSince[key] = now
 		return false
 	}
-	return now.Sub(since) >= boot
+	return known && now.Sub(since) >= boot
 }
