--- a/internal/node/entry/order.go
+++ b/internal/node/entry/order.go
@@ -68,6 +68,14 @@
 	return od.demand[id]
 }
 
+// releaseOf returns the state by which a service gives servers back, and starts one if there is none.
+func (od *orders) releaseOf(id units.TargetID) *scale.Release[orderKey] {
+	if od.release[id] == nil {
+		od.release[id] = &scale.Release[orderKey]{}
+	}
+	return od.release[id]
+}
+
 // knownDemands returns the demands that are known, for the lease record.
 func (od *orders) knownDemands(now time.Time) map[units.TargetID]units.TokensPerSecond {
 	out := map[units.TargetID]units.TokensPerSecond{}
@@ -219,12 +227,7 @@
 		planned[key] = or.Count
 		groups = append(groups, scale.Group[orderKey]{Key: key, Want: or.Count, Have: od.running(now, key, have[key], boot)})
 	}
-	release := od.release[se.ID]
-	if release == nil {
-		release = &scale.Release[orderKey]{}
-		od.release[se.ID] = release
-	}
-	groups = release.Bound(now, groups, boot, steady > 0 && od.demandOf(se.ID).IsSettled(now))
+	groups = od.releaseOf(se.ID).Bound(now, groups, boot, steady > 0 && od.demandOf(se.ID).IsSettled(now))
 	due := no.dueOrders(now, fitZones(groups, planned, have, se.Scaling.MaxServers), have, boot)
 	before := maps.Clone(od.ordered)
 	if od.raise(now, due) && !no.appendLease(ctx, nil) {
