entry: spot servers that are not to be had no longer displace servers on demand that start

Cause: refused spot servers count as ordered for some seconds, the orders of the zone exceeded its most servers, and servers on demand were lowered first. Now spot servers above the plan are, then groups that grow.

--- a/internal/node/entry/order.go
+++ b/internal/node/entry/order.go
@@ -291,7 +291,8 @@
 	return now.Sub(no.steadySince)
 }
 
-// fitZones lowers numbers that exceed the servers of a zone: first those above the plan, down to what serves, then those of groups that grow.
+// fitZones lowers numbers that exceed the servers of a zone: spot servers above the plan first, since an order of them may have been refused,
+// then groups that grow, and servers on demand above the plan last. None is lowered below the plan or what serves, whichever is more.
 func fitZones(groups []scale.Group[orderKey], planned, have map[orderKey]int, most int) []scale.Group[orderKey] {
 	over := map[units.ZoneID]int{}
 	for _, gr := range groups {
@@ -300,16 +301,21 @@
 	for zo := range over {
 		over[zo] -= most
 	}
-	lower := func(floor func(gr scale.Group[orderKey]) int) {
+	lower := func(onlySpot bool, floor func(gr scale.Group[orderKey]) int) {
 		for idx := range groups {
 			gr := &groups[idx]
+			if onlySpot && !gr.Key.spot {
+				continue
+			}
 			cut := max(0, min(over[gr.Key.zone], gr.Want-floor(*gr)))
 			gr.Want -= cut
 			over[gr.Key.zone] -= cut
 		}
 	}
-	lower(func(gr scale.Group[orderKey]) int { return max(planned[gr.Key], have[gr.Key]) })
-	lower(func(gr scale.Group[orderKey]) int { return gr.Have })
+	plannedOrServing := func(gr scale.Group[orderKey]) int { return max(planned[gr.Key], have[gr.Key]) }
+	lower(true, plannedOrServing)
+	lower(false, func(gr scale.Group[orderKey]) int { return gr.Have })
+	lower(false, plannedOrServing)
 	return groups
 }
 
