entry: test of orders under disruptions had a data race of its own

No caller is affected: the fault is in the test.

Cause: disruptions of this test run beside each other, and the fleet of the model starts nodes and picks nodes by one source of random numbers without a lock. Two disruptions could also start the same node twice.

Change: the source has a lock, and nodes are started by one disruption at a time. No check or bound is changed.

--- a/internal/node/entry/ordernet_test.go
+++ b/internal/node/entry/ordernet_test.go
@@ -114,6 +114,8 @@
 	epoch time.Time
 	// share is the part of the demand that is offered, in percent.
 	share atomic.Int64
+	// starting is held while processes are started, as killAll runs beside itself.
+	starting sync.Mutex
 }
 
 func newOrderFleet(ctx context.Context, nodes int) *orderFleet {
@@ -180,6 +182,8 @@
 
 // startDead starts those of the first nodes that are dead.
 func (of *orderFleet) startDead(ctx context.Context, count int) {
+	of.starting.Lock()
+	defer of.starting.Unlock()
 	for num, no := range of.nodes[:count] {
 		if no.isDead() {
 			of.start(ctx, num)
--- a/internal/node/entry/reachnet_test.go
+++ b/internal/node/entry/reachnet_test.go
@@ -360,7 +360,7 @@
 func newReachModel(count int, seed uint64) *reachFleet {
 	fl := &reachFleet{
 		store:     &reachStore{change: make(chan struct{}), streams: map[stream.Name][]stream.Keyed{}, acked: map[units.Version]time.Time{}},
-		byAddress: map[string]*reachNode{}, rnd: rand.New(rand.NewPCG(seed, 0)), decode: 60 * time.Millisecond,
+		byAddress: map[string]*reachNode{}, rnd: rand.New(&lockedSource{src: rand.NewPCG(seed, 0)}), decode: 60 * time.Millisecond,
 	}
 	fl.store.putConfig(1, 1<<10)
 	for num := range count {
@@ -437,62 +437,6 @@
 	}
 }
 
-// each calls do for the readers if they are wanted, and for a share of the others.
-func (fl *reachFleet) each(readers bool, share float64, do func(*reachNode)) {
-	for _, no := range fl.nodes {
-		nd := no.node()
-		nd.mu.Lock()
-		isReader := nd.watch.IsReader()
-		nd.mu.Unlock()
-		if isReader && readers || !isReader && fl.rnd.Float64() < share {
-			do(no)
-		}
-	}
-}
-
-// disturb changes a node's state. It is in touch again some time after until.
-func (no *reachNode) disturb(until time.Time, change func()) {
-	no.mu.Lock()
-	defer no.mu.Unlock()
-	no.since = until
-	change()
-}
-
-func freeze(du time.Duration) func(*reachNode) {
-	return func(no *reachNode) {
-		until := time.Now().Add(du)
-		no.disturb(until, func() { no.frozenTo = until })
-	}
-}
-
-func kill(no *reachNode) {
-	no.disturb(time.Now().Add(time.Hour), func() {
-		no.dead = true
-		no.stop()
-	})
-}
-
-// loseAnswers makes the answers to reads of a stream that wait now get lost on their connections.
-func loseAnswers(na stream.Name) func(*reachNode) {
-	return func(no *reachNode) { no.disturb(time.Now(), func() { no.lostBefore[na] = time.Now() }) }
-}
-
-// delay makes the answers of the store late for a node.
-func delay(by, du time.Duration) func(*reachNode) {
-	return func(no *reachNode) {
-		no.disturb(time.Now().Add(du), func() { no.lateBy = by })
-		time.AfterFunc(du, func() { no.disturb(time.Now(), func() { no.lateBy = 0 }) })
-	}
-}
-
-// silence makes the store silent for a node.
-func silence(du time.Duration) func(*reachNode) {
-	return func(no *reachNode) {
-		until := time.Now().Add(du)
-		no.disturb(until, func() { no.silentTo = until })
-	}
-}
-
 // reachLog returns the log of a node: none, unless REACH_LOG names the node, or is "all".
 func reachLog(id units.VMID) *zap.Logger {
 	if want := os.Getenv("REACH_LOG"); want != string(id) && want != "all" {
