entry: test that exchanges leave callers half of the lease holder's link, failing

What callers saw: a node that says it is ready takes no new connection for 4 s and more.

Cause: each node exchanges whole reports with the lease holder in each round, whatever its link carries.

Evidence: the busiest node's exchanges in a second, 16 customers at their limits, in parts of a link of 10 Mbit/s: 8 nodes 0.20 and, after a start of all nodes, 0.29; 64 nodes 6.64 and 6.63; 195 nodes 6.16 and 5.13. Wanted: half at most. Four of six cases fail.

--- a/internal/node/entry/reachnet_test.go
+++ b/internal/node/entry/reachnet_test.go
@@ -277,6 +277,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if rm := no.fl.meter; rm != nil {
+		rm.admit(&asked.Report)
+	}
 	no.up.wait(reachReportBytes)
 	time.Sleep(reachLatency)
 	if other.isDead() || time.Now().Before(other.thawsAt()) {
@@ -286,6 +289,11 @@
 	no.trim(&asked.Report)
 	answer := other.node().Exchange(asked)
 	other.trim(&answer.Report)
+	if rm := no.fl.meter; rm != nil {
+		rm.admit(&answer.Report)
+		rm.count(no.id, other.id, asked)
+		rm.count(other.id, no.id, answer)
+	}
 	out, err := reachCopy[pulse.Reply](answer)
 	size := reachReportBytes + (len(out.PackedConfig)+len(out.RawConfig))*4/3
 	other.up.wait(size)
@@ -344,6 +352,8 @@
 	servers   []*reachServer
 	// prepare changes a node before it starts, and returns further loops of it. It may be nil.
 	prepare func(*reachNode, *Node) []func(context.Context)
+	// meter counts the bytes of exchanges. It may be nil.
+	meter *reportMeter
 	wg      conc.WaitGroup
 }
 
