entry: exchanges with the lease holder and with readers of the list relay nothing of other nodes

Cause: each node exchanges reports with the lease holder in each round, and with its reader, and reports grow with customers near their limits and with nodes that have started lately, up to 64 other nodes of each. Nothing kept them within the link of the smallest node.

Change: these exchanges, the only ones that a node takes part in more often the larger the fleet is, are marked brief: they hold what the two nodes know of themselves. What is relayed still goes with the exchanges with random peers. A report relays 48 totals of all customers near their limits together, in turn, not 64 of each; and newcomers with 96 totals, not 64 newcomers with all of theirs. Older nodes ignore the mark. The line "exchanges" also tells the exchanges served and the brief ones. The model of large fleets (bench/crowd) exchanges in the same way.

Tests of entry, pool, relay, pulse and limits of crowd pass.

--- a/internal/bench/crowd/node.go
+++ b/internal/bench/crowd/node.go
@@ -183,16 +183,17 @@
 			}
 			continue
 		}
-		no.ru.byID[id].receiveFrom(no)
-		no.receiveFrom(no.ru.byID[id])
+		isBrief := id == no.watch.Reader()
+		no.ru.byID[id].receiveFrom(no, isBrief)
+		no.receiveFrom(no.ru.byID[id], isBrief)
 		no.receiveCrashes(no.ru.byID[id])
 	}
 	no.rounds++
 	no.ru.scheduleAfter(exchangePeriod, no.exchange)
 }
 
-// receiveFrom applies the reports of a peer.
-func (no *node) receiveFrom(other *node) {
+// receiveFrom applies the reports of a peer. Brief ones relay nothing of other nodes.
+func (no *node) receiveFrom(other *node, isBrief bool) {
 	now := no.ru.now
 	loads, sent := map[units.VMID]place.Load{}, map[units.VMID][]place.BlockID{}
 	other.fleet.OwnLoads(loads)
@@ -201,8 +202,10 @@
 	no.fleet.AddPeerBlocks(now, sent)
 	no.noteZone(other)
 	no.pool.MergeReport(now, other.id, other.incarnation, other.pool.Admitted())
-	no.pool.MergeRelayed(now, other.pool.Relay(now))
-	no.pool.MergeNewcomers(now, other.pool.Newcomers(now, no.rounds))
+	if !isBrief {
+		no.pool.MergeRelayed(now, other.pool.Relay(now))
+		no.pool.MergeNewcomers(now, other.pool.Newcomers(now, no.rounds))
+	}
 	no.members.Heard(now, other.id, true)
 	no.start.Heard(now, other.id)
 	no.contention.Feedback.Merge(now, other.id, other.incarnation, other.contention.Feedback.Totals())
--- a/internal/edge/relay/report.go
+++ b/internal/edge/relay/report.go
@@ -78,8 +78,17 @@
 	rl.pool.AddPeer(now, node)
 }
 
-// LocalReport returns this node's report for its peers.
+// LocalReport returns this node's report for its peers, with what it relays of other nodes.
 func (rl *Relay) LocalReport(now time.Time) LoadReport {
+	rep := rl.BriefReport(now)
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rep.PeerTotals, rep.Newcomers = rl.pool.Relay(now), rl.pool.Newcomers(now, rand.Uint64())
+	return rep
+}
+
+// BriefReport returns this node's report without what it would relay of other nodes.
+func (rl *Relay) BriefReport(now time.Time) LoadReport {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	rep := LoadReport{Zone: rl.Zone, Loads: map[units.VMID]place.Load{}, SentPrefixes: map[units.VMID][]place.BlockID{}}
@@ -87,8 +96,7 @@
 		se.fleet.OwnLoads(rep.Loads)
 		se.fleet.RecentBlocks(now, rep.SentPrefixes)
 	}
-	rep.Admitted, rep.PeerTotals = rl.pool.Admitted(), rl.pool.Relay(now)
-	rep.Newcomers = rl.pool.Newcomers(now, rand.Uint64())
+	rep.Admitted = rl.pool.Admitted()
 	rep.ServerLimits, rep.ServersLeaving = rl.permits.Observations(now), rl.leaving.Heard(now)
 	rep.ServersResting = rl.rests.Heard(now)
 	rl.seeVersions(now)
--- a/internal/node/entry/dutynet_test.go
+++ b/internal/node/entry/dutynet_test.go
@@ -364,7 +364,7 @@
 		if pr == nil || !from.isCalm() {
 			continue
 		}
-		rep := pr.report()
+		rep := pr.report(false)
 		rep.Wall = time.Now().Add(from.skew).UnixNano()
 		for _, to := range fl.nodes {
 			if other := to.process(); to != from && other != nil && to.isCalm() {
--- a/internal/node/entry/gap_test.go
+++ b/internal/node/entry/gap_test.go
@@ -263,7 +263,7 @@
 		no.mu.Unlock()
 		return
 	}
-	re := other.Exchange(&pulse.Request{Report: no.report(), WantServers: no.wantsServers(id), WantConfig: pulse.ConfigNone})
+	re := other.Exchange(&pulse.Request{Report: no.report(false), WantServers: no.wantsServers(id), WantConfig: pulse.ConfigNone})
 	apply := func() {
 		no.applyReport(&re.Report, asked)
 		no.applyServers(re, asked)
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -11,12 +11,10 @@
 	"go.uber.org/zap"
 
 	"lycheepick/internal/edge/pause"
-	"lycheepick/internal/edge/relay"
 	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/plat/stream"
 	"lycheepick/internal/rule/bound"
 	"lycheepick/internal/rule/permit"
-	"lycheepick/internal/rule/spill"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/rule/watch"
 )
@@ -69,9 +67,10 @@
 	registerRetryDelay = time.Second
 )
 
-// exchangeStats counts this node's exchanges with its peers, for one log line in a while.
+// exchangeStats counts this node's exchanges with its peers, for one log line in a while. served counts those that peers
+// began, and brief the ones of both that relay nothing.
 type exchangeStats struct {
-	calls, failed, configsSent, configsReceived, configsDeferred atomic.Int64
+	calls, failed, served, brief, configsSent, configsReceived, configsDeferred atomic.Int64
 	lastError                                                    atomic.Pointer[error]
 	traffic                                                      pulse.Traffic
 }
@@ -84,6 +83,7 @@
 		err = *last
 	}
 	no.log.Info("exchanges", zap.Int64("calls", ex.calls.Swap(0)), zap.Int64("failed", ex.failed.Swap(0)),
+		zap.Int64("served", ex.served.Swap(0)), zap.Int64("brief", ex.brief.Swap(0)),
 		zap.Int64("configs_sent", ex.configsSent.Swap(0)), zap.Int64("configs_received", ex.configsReceived.Swap(0)),
 		zap.Int64("configs_deferred", ex.configsDeferred.Swap(0)),
 		zap.Int64("bytes_sent", ex.traffic.Sent.Swap(0)), zap.Int64("bytes_received", ex.traffic.Received.Swap(0)), zap.Error(err))
@@ -231,9 +231,12 @@
 // whether the configuration is asked for.
 func (no *Node) exchangeWith(ctx context.Context, client peerCaller, addr string, want pulse.ConfigRequest) {
 	asked := time.Now()
-	id := no.markAsked(asked, addr)
+	id, isHub := no.markAsked(asked, addr)
 	no.exchanges.calls.Add(1)
-	rq := &pulse.Request{Report: no.report(), WantServers: no.wantsServers(id), WantConfig: want, Crashes: no.relay.CrashSummary(asked)}
+	if isHub {
+		no.exchanges.brief.Add(1)
+	}
+	rq := &pulse.Request{Report: no.report(isHub), Brief: isHub, WantServers: no.wantsServers(id), WantConfig: want, Crashes: no.relay.CrashSummary(asked)}
 	re, err := client.Exchange(ctx, addr, rq)
 	if err != nil {
 		no.mu.Lock()
@@ -253,17 +256,17 @@
 }
 
 // markAsked sets the time of the latest request to the peer at addr and returns its id, empty
-// if the peer is not known.
-func (no *Node) markAsked(now time.Time, addr string) units.VMID {
+// if the peer is not known, and whether it is a hub: the lease holder or the reader, which many nodes ask in each round.
+func (no *Node) markAsked(now time.Time, addr string) (id units.VMID, isHub bool) {
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	for id, pe := range no.peers {
 		if pe.address == addr {
 			pe.lastAsked = now
-			return id
+			return id, id == no.leader.reportedBy || id == no.watch.Reader()
 		}
 	}
-	return ""
+	return "", false
 }
 
 // wantsServers reports whether to ask a peer for changes of the list of servers. The reader
@@ -377,120 +380,15 @@
 	}
 }
 
-// report returns this node's current report to its peers.
-func (no *Node) report() pulse.Report {
-	now := time.Now()
-	rep := no.relay.LocalReport(now)
-	out := pulse.Report{
-		Peer:        pulse.Peer{Node: no.settings.VM.ID, Address: no.settings.Listen.Peers},
-		Incarnation: no.incarnation, Wall: now.UnixNano(), HoldsLease: no.isLeader.Load(), StoreTransitions: no.storeHealth.transitionCount(),
-		Loads: rep.Loads, SentPrefixes: rep.SentPrefixes, Admitted: rep.Admitted, PeerAdmitted: rep.PeerTotals, Newcomers: rep.Newcomers,
-		ServerLimits: rep.ServerLimits, ServersLeaving: leavingTo(rep.ServersLeaving), ServersResting: restingTo(rep.ServersResting), IssuesPermits: true, Versions: rep.Versions,
-		ServerLoads: loadsTo(rep.ServerLoads), Zone: rep.Zone,
-	}
-	if fo := no.config.Load(); fo != nil {
-		out.Config = fo.Version
-	}
-	out.Rollouts, out.RolloutCounts = no.rolloutReports(now), no.relay.RolloutReport(now)
-	out.Unreached, out.Forwards = no.relay.Unreached(), !no.leaving.Load()
-	no.mu.Lock()
-	defer no.mu.Unlock()
-	out.Servers, out.StoreEra, out.ServersAge = no.servers.NextOffset(), no.serversEra, no.watch.Age(watch.Servers, now)
-	if !no.steadySince.IsZero() {
-		out.ListSteady = max(1, now.Sub(no.steadySince))
-	}
-	out.ConfigAge = max(1, no.watch.Age(watch.Config, now))
-	out.SinceStoreOutage = no.servers.SinceRecovery(now)
-	out.UsageWindows = no.usageBook.SourceCounts(no.ownSource())
-	out.Offered = make(map[units.TargetID]pulse.Demand, len(no.offered))
-	for id, of := range no.offered {
-		of.Waited, of.Expected, of.Begun = rep.Waits[id].Waited, rep.Waits[id].Expected, rep.Waits[id].Begun
-		out.Offered[id] = of
-	}
-	for id, pe := range no.peers {
-		if len(out.Peers) == maxReportedPeers { // Map order is random, so the peers are too.
-			break
-		}
-		if !pe.lost {
-			out.Peers = append(out.Peers, pulse.Peer{Node: id, Address: pe.address})
-		}
-	}
-	return out
-}
-
-// applyReport updates the state of a peer from its report. asOf is a time at which the report had
-// not been made yet, as far as this node can tell.
-func (no *Node) applyReport(re *pulse.Report, asOf time.Time) {
-	now := time.Now()
-	no.relay.ApplyPeerReport(now, asOf, re.Node, re.Incarnation, relay.LoadReport{
-		Zone: re.Zone, Offered: offeredFrom(re.Offered),
-		Loads: re.Loads, SentPrefixes: re.SentPrefixes, Admitted: re.Admitted, PeerTotals: re.PeerAdmitted, Newcomers: re.Newcomers, ServerLimits: re.ServerLimits,
-		ServersLeaving: leavingFrom(re.ServersLeaving), ServersResting: restingFrom(re.ServersResting), Versions: re.Versions, Waits: waitsFrom(re.Offered),
-		ServerLoads: loadsFrom(re.ServerLoads),
-	})
-	no.applyRollouts(re, asOf)
-	no.mu.Lock()
-	defer no.mu.Unlock()
-	pe := no.addPeer(re.Peer)
-	if pe == nil {
-		return
-	}
-	if pe.lost {
-		pe.lost = false
-		no.log.Info("peer_back", zap.String("peer", string(re.Node)))
-	}
-	pe.lastSeen, pe.address = now, re.Address
-	no.members.Heard(now, re.Node, re.IssuesPermits)
-	if pe.incarnation != re.Incarnation {
-		pe.knownSince = now
-	}
-	if pe.incarnation == re.Incarnation && re.StoreTransitions > pe.storeTransitions {
-		no.storeHealth.restartReads()
-	}
-	pe.incarnation, pe.storeTransitions = re.Incarnation, re.StoreTransitions
-	pe.config = re.Config
-	pe.noteForwarding(re)
-	no.hearConfig(re.Config)
-	no.notePeerServers(re)
-	if re.HoldsLease {
-		no.leader.reportedAt, no.leader.reportedBy = now, re.Node
-	}
-	no.clock.SetPeer(re.Node, no.uptime(), time.Unix(0, re.Wall))
-	no.usageBook.Merge(sourceKey(re.Node, re.Incarnation), re.UsageWindows)
-	no.peerWork[re.Node] = &peerWork{incarnation: re.Incarnation, offered: re.Offered}
-	for _, other := range re.Peers {
-		no.addPeer(other)
-	}
-}
-
-// offeredFrom converts what a peer says that has been offered to it.
-func offeredFrom(list map[units.TargetID]pulse.Demand) map[units.TargetID]spill.Offered {
-	out := make(map[units.TargetID]spill.Offered, len(list))
-	for id, de := range list {
-		out[id] = spill.Offered{Requests: de.Requests, Prompts: de.PromptTokens}
-	}
-	return out
-}
-
-// noteForwarding takes note of whether a peer takes requests of other nodes.
-func (pe *peer) noteForwarding(re *pulse.Report) {
-	pe.forwards, pe.load, pe.unreached = re.Forwards, 0, nil
-	for _, lo := range re.Loads {
-		pe.load += lo.Running
-	}
-	for _, id := range re.Unreached {
-		if pe.unreached == nil {
-			pe.unreached = map[units.TargetID]bool{}
-		}
-		pe.unreached[id] = true
-	}
-}
-
 // Exchange implements pulse.Handler. It applies a peer's report and returns this node's, with the
 // configuration and the server records that the peer lacks.
 func (no *Node) Exchange(rq *pulse.Request) *pulse.Reply {
+	no.exchanges.served.Add(1)
+	if rq.Brief {
+		no.exchanges.brief.Add(1)
+	}
 	no.applyReport(&rq.Report, time.Now())
-	out := &pulse.Reply{Report: no.report(), Crashes: no.relay.CrashReport(time.Now(), rq.Crashes)}
+	out := &pulse.Reply{Report: no.report(rq.Brief), Crashes: no.relay.CrashReport(time.Now(), rq.Crashes)}
 	if fo := no.config.Load(); fo.version() > rq.Config {
 		no.addConfig(out, fo, rq.WantConfig)
 	}
--- a/internal/node/entry/reachnet_test.go
+++ b/internal/node/entry/reachnet_test.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -273,13 +274,13 @@
 	defer cancel()
 	no.hold(ctx)
 	other := no.fl.byAddress[addr]
-	asked, err := reachCopy[pulse.Request](rq)
+	if rm := no.fl.meter; rm != nil {
+		rm.admit(&rq.Report)
+	}
+	asked, askedBytes, err := reachCopy[pulse.Request](rq)
 	if err != nil {
 		return nil, err
 	}
-	if rm := no.fl.meter; rm != nil {
-		rm.admit(&asked.Report)
-	}
 	no.up.wait(reachReportBytes)
 	time.Sleep(reachLatency)
 	if other.isDead() || time.Now().Before(other.thawsAt()) {
@@ -291,10 +292,12 @@
 	other.trim(&answer.Report)
 	if rm := no.fl.meter; rm != nil {
 		rm.admit(&answer.Report)
-		rm.count(no.id, other.id, asked)
-		rm.count(other.id, no.id, answer)
 	}
-	out, err := reachCopy[pulse.Reply](answer)
+	out, answerBytes, err := reachCopy[pulse.Reply](answer)
+	if rm := no.fl.meter; rm != nil {
+		rm.count(no.id, other.id, askedBytes)
+		rm.count(other.id, no.id, answerBytes)
+	}
 	size := reachReportBytes + (len(out.PackedConfig)+len(out.RawConfig))*4/3
 	other.up.wait(size)
 	no.down.wait(size)
@@ -332,13 +335,14 @@
 // Close implements peerCaller.
 func (no *reachNode) Close() {}
 
-func reachCopy[M any](msg any) (*M, error) {
-	raw, err := json.Marshal(msg)
+// reachCopy returns a copy of a message, and its size in bytes as nodes send it.
+func reachCopy[M any](msg any) (out *M, size int, err error) {
+	raw, err := cbor.Marshal(msg)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	out := new(M)
-	return out, json.Unmarshal(raw, out)
+	out = new(M)
+	return out, len(raw), cbor.Unmarshal(raw, out)
 }
 
 // reachFleet is a fleet of nodes whose loops run as in a process, on a network in memory.
@@ -354,7 +358,7 @@
 	prepare func(*reachNode, *Node) []func(context.Context)
 	// meter counts the bytes of exchanges. It may be nil.
 	meter *reportMeter
-	wg      conc.WaitGroup
+	wg    conc.WaitGroup
 }
 
 func newReachFleet(ctx context.Context, count int, seed uint64) *reachFleet {
--- a/internal/node/entry/reports_test.go
+++ b/internal/node/entry/reports_test.go
@@ -8,8 +8,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"lycheepick/internal/peer/pulse"
 	"lycheepick/internal/rule/pool"
 	"lycheepick/internal/rule/units"
@@ -45,16 +43,12 @@
 }
 
 // count counts a message between two nodes.
-func (rm *reportMeter) count(from, to units.VMID, msg any) {
-	raw, err := cbor.Marshal(msg)
-	if err != nil {
-		panic(err)
-	}
+func (rm *reportMeter) count(from, to units.VMID, bytes int) {
 	rm.mu.Lock()
 	defer rm.mu.Unlock()
 	second := int(time.Since(rm.epoch) / time.Second)
 	for _, by := range []map[int]int{part(rm.sent, from), part(rm.received, to)} {
-		by[second] += len(raw)
+		by[second] += bytes
 	}
 }
 
@@ -65,20 +59,25 @@
 	return of[id]
 }
 
-// busiest returns the most bytes that a node sent or received in a second, from a second on.
-func (rm *reportMeter) busiest(from int) (id units.VMID, second, most int) {
+// check reports the most bytes that a node sent or received in a second of a time, and whether they left room on its link.
+func (rm *reportMeter) check(t *testing.T, when string, from, to int) {
+	t.Helper()
 	rm.mu.Lock()
 	defer rm.mu.Unlock()
+	most := 0
 	for _, dir := range []map[units.VMID]map[int]int{rm.sent, rm.received} {
-		for no, by := range dir {
+		for _, by := range dir {
 			for se, bytes := range by {
-				if se >= from && bytes > most {
-					id, second, most = no, se, bytes
+				if se >= from && se < to {
+					most = max(most, bytes)
 				}
 			}
 		}
 	}
-	return id, second, most
+	t.Logf("%s: at most %d bytes in a second, %.0f%% of the link", when, most, 100*float64(most)/reachLink)
+	if most > reachLink*maxExchangeShare {
+		t.Errorf("%s: have %d bytes of exchanges in a second, want %.0f at most", when, most, reachLink*maxExchangeShare)
+	}
 }
 
 func reportCustomer(num int) units.CustomerID {
@@ -131,37 +130,25 @@
 // A holder on a link of 10 Mbit/s said it was ready and took no connections: exchanges filled the link.
 func TestReportsFillLinkOfHolder(t *testing.T) {
 	for _, nodes := range []int{8, 64, 195} {
-		for _, tt := range []struct {
-			name string
-			play func(context.Context, *reachFleet)
-		}{
-			{"customers at their limits", func(context.Context, *reachFleet) {}},
-			{"all nodes have started again", func(ctx context.Context, fl *reachFleet) {
+		t.Run(fmt.Sprintf("%d nodes", nodes), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(t.Context())
+				fl, rm := newMeteredFleet(ctx, nodes)
+				defer fl.wg.Wait()
+				defer stop()
+				time.Sleep(5 * time.Second)
+				if have := fl.holders(); have != 1 {
+					t.Errorf("holders: have %d, want 1", have)
+				}
+				rm.check(t, "customers at their limits", 3, 5)
 				for num, no := range fl.nodes {
 					kill(no)
 					fl.start(ctx, num)
 				}
-			}},
-		} {
-			t.Run(fmt.Sprintf("%d nodes, %s", nodes, tt.name), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					ctx, stop := context.WithCancel(t.Context())
-					fl, rm := newMeteredFleet(ctx, nodes)
-					defer fl.wg.Wait()
-					defer stop()
-					time.Sleep(6 * time.Second)
-					tt.play(ctx, fl)
-					time.Sleep(5 * time.Second)
-					if have := fl.holders(); have != 1 {
-						t.Errorf("holders: have %d, want 1", have)
-					}
-					id, second, most := rm.busiest(5)
-					t.Logf("most at %s in second %d: %d bytes, %.0f%% of the link", id, second, most, 100*float64(most)/reachLink)
-					if most > reachLink*maxExchangeShare {
-						t.Errorf("exchanges: have %d bytes in a second, want %.0f at most", most, reachLink*maxExchangeShare)
-					}
-				})
+				time.Sleep(4 * time.Second)
+				rm.check(t, "all nodes have started again", 5, 9)
 			})
-		}
+		})
 	}
 }
--- a/internal/node/entry/zone_test.go
+++ b/internal/node/entry/zone_test.go
@@ -19,7 +19,7 @@
 		Handler: func(View) (door.Handler, ForwardHandler) { return nil, nil },
 	}, zap.NewNop())
 	no.RecordDemand("app", 700)
-	rep := no.report()
+	rep := no.report(false)
 	if have := offeredFrom(rep.Offered)["app"]; rep.Zone != "z1" || have != (spill.Offered{Requests: 1, Prompts: 700}) {
 		t.Errorf("have zone %q and %+v offered, want z1, and one request with 700 tokens", rep.Zone, have)
 	}
--- a/internal/rule/pool/pool.go
+++ b/internal/rule/pool/pool.go
@@ -80,14 +80,14 @@
 	minRelayDemand = 0.9
 	// maxRelayAge is the age up to which totals are relayed.
 	maxRelayAge = 800 * time.Millisecond
-	// maxRelayed bounds the totals relayed of one customer. A node of a large fleet gets some 50 reports
-	// a second, which name each peer several times all the same.
-	maxRelayed = 64
-	// newcomerTime is the time from a peer's first report for which its totals are relayed, of at most
-	// maxNewcomers peers in one report. All nodes know of each other's use in a few exchanges then, also
+	// maxRelayed bounds the totals that one report relays of all customers together, so that reports leave room
+	// on the smallest link. A node of a large fleet gets some 50 reports a second.
+	maxRelayed = 48
+	// newcomerTime is the time from a peer's first report for which its totals are relayed, at most
+	// maxNewcomerTotals in one report. All nodes know of each other's use in a few exchanges then, also
 	// if they have started at once.
-	newcomerTime = 3 * time.Second
-	maxNewcomers = 64
+	newcomerTime      = 3 * time.Second
+	maxNewcomerTotals = 96
 	// minRetryAfter and maxRetryAfter bound the Retry-After of a refused request.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
@@ -107,6 +107,8 @@
 	deferred float64
 	// usages holds what is known of each peer, by its number.
 	usages []peerUsage
+	// relayFrom is the number of the peer from which on totals are relayed next.
+	relayFrom int
 }
 
 // peerUsage is what a peer uses of one customer's limit; see noUsages for one that has not reported.
@@ -126,8 +128,6 @@
 	tolerance Tolerance
 	buckets   map[units.CustomerID]*bucket
 	peers     *peers
-	// relayFrom is the number of the peer from which on totals are relayed, another one each time.
-	relayFrom int
 }
 
 // New returns a pool without limits, which admits everything.
@@ -385,16 +385,19 @@
 // Newcomers returns recent totals of peers that have started lately, from a random one on.
 func (po *Pool) Newcomers(now time.Time, random uint64) []Newcomer {
 	var out []Newcomer
+	totals := 0
 	pe, at := po.peers, po.peers.instant(now)
 	for idx := range pe.ids {
 		num := (idx + int(random%uint64(pe.count()))) % pe.count()
 		if !pe.isNewcomer(num, at) {
 			continue
 		}
-		if len(out) == maxNewcomers {
+		ne := po.newcomer(num, at)
+		// The totals of a peer are relayed whole, as a total that is missing counts as 0. Its name takes as much as one.
+		if totals += 1 + len(ne.Totals); totals > maxNewcomerTotals && len(out) > 0 {
 			break
 		}
-		out = append(out, po.newcomer(num, at))
+		out = append(out, ne)
 	}
 	return out
 }
@@ -428,23 +431,40 @@
 	}
 }
 
-// Relay returns the peers' totals to relay: recent ones of customers near their limits.
+// Relay returns the peers' totals to relay: recent ones of customers near their limits, other ones in each call if there
+// are too many for one report.
 func (po *Pool) Relay(now time.Time) map[units.CustomerID][]RelayedUsage {
-	var out map[units.CustomerID][]RelayedUsage
-	at := po.peers.instant(now)
-	po.relayFrom += maxRelayed
+	var near []units.CustomerID
 	for cu, bu := range po.buckets {
-		if bu.level-bu.unreported(now, po.peers) >= bu.capacity*maxRelayLevel || bu.demand() < bu.limit.Rate*minRelayDemand {
-			continue
+		if bu.level-bu.unreported(now, po.peers) < bu.capacity*maxRelayLevel && bu.demand() >= bu.limit.Rate*minRelayDemand {
+			near = append(near, cu)
+		}
+	}
+	if len(near) == 0 {
+		return nil
+	}
+	// Map order is random, so that all of very many customers have their turn.
+	near = near[:min(len(near), maxRelayed)]
+	out := map[units.CustomerID][]RelayedUsage{}
+	for _, cu := range near {
+		if list := po.relayed(now, po.buckets[cu], maxRelayed/len(near)); len(list) > 0 {
+			out[cu] = list
 		}
-		for idx := range bu.usages {
-			num := (idx + po.relayFrom) % len(bu.usages)
-			us := &bu.usages[num]
-			if age := at.since(us.reportedAt); us.total != 0 && age <= maxRelayAge && len(out[cu]) < maxRelayed {
-				if out == nil {
-					out = map[units.CustomerID][]RelayedUsage{}
-				}
-				out[cu] = append(out[cu], RelayedUsage{Node: po.peers.ids[num], Incarnation: us.incarnation, Total: us.total, Age: age})
+	}
+	return out
+}
+
+// relayed returns at most so many recent totals of a customer, and goes on after them in the next call.
+func (po *Pool) relayed(now time.Time, bu *bucket, most int) []RelayedUsage {
+	var out []RelayedUsage
+	at, from := po.peers.instant(now), bu.relayFrom
+	for idx := range bu.usages {
+		num := (from + idx) % len(bu.usages)
+		us := &bu.usages[num]
+		if age := at.since(us.reportedAt); us.total != 0 && age <= maxRelayAge {
+			out = append(out, RelayedUsage{Node: po.peers.ids[num], Incarnation: us.incarnation, Total: us.total, Age: age})
+			if bu.relayFrom = num + 1; len(out) == most {
+				break
 			}
 		}
 	}
