--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -71,8 +71,8 @@
 // began, and brief the ones of both that relay nothing.
 type exchangeStats struct {
 	calls, failed, served, brief, configsSent, configsReceived, configsDeferred atomic.Int64
-	lastError                                                    atomic.Pointer[error]
-	traffic                                                      pulse.Traffic
+	lastError                                                                   atomic.Pointer[error]
+	traffic                                                                     pulse.Traffic
 }
 
 // logExchanges logs what has been counted since the last call.
