--- a/internal/rule/pool/pool.go
+++ b/internal/rule/pool/pool.go
@@ -87,7 +87,7 @@
 	// maxNewcomerTotals in one report. All nodes know of each other's use in a few exchanges then, also
 	// if they have started at once.
 	newcomerTime      = 3 * time.Second
-	maxNewcomerTotals = 96
+	maxNewcomerTotals = 192
 	// minRetryAfter and maxRetryAfter bound the Retry-After of a refused request.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
