entry: the model of a fleet prepares a node before others call it

The race detector, run by hand on: TestReportsFillLinkOfHolder at 64 and 195 nodes, data race of the test's own settings: reachFleet.start made a new process known to the other nodes of the model and then changed its settings. Other tests with such settings (orders) could be hit too. No caller is affected.

Change: the settings are changed first. No check is changed.

--- a/internal/node/entry/reachnet_test.go
+++ b/internal/node/entry/reachnet_test.go
@@ -405,16 +405,16 @@
 		Handler: func(View) (door.Handler, ForwardHandler) { return nil, nil },
 	}, reachLog(no.id))
 	nd.peerClient = no
+	loops := []func(context.Context){nd.followConfig, nd.followServers, nd.exchangeLoop, nd.fetchConfigs, nd.tick}
+	if fl.prepare != nil {
+		loops = append(loops, fl.prepare(no, nd)...)
+	}
 	ctx, stop := context.WithCancel(ctx)
 	no.mu.Lock()
 	no.lostBefore, no.appliedAt, no.since, no.dead = map[stream.Name]time.Time{}, map[units.Version]time.Time{}, time.Now(), false
 	no.startedAt, no.handledBy = no.since, 0
 	no.proc, no.stop = nd, stop
 	no.mu.Unlock()
-	loops := []func(context.Context){nd.followConfig, nd.followServers, nd.exchangeLoop, nd.fetchConfigs, nd.tick}
-	if fl.prepare != nil {
-		loops = append(loops, fl.prepare(no, nd)...)
-	}
 	for _, loop := range loops {
 		delay := time.Duration(fl.rnd.IntN(300)) * time.Millisecond
 		fl.wg.Go(func() {
