--- a/internal/bench/crowd/node.go
+++ b/internal/bench/crowd/node.go
@@ -192,7 +192,7 @@
 	no.ru.scheduleAfter(exchangePeriod, no.exchange)
 }
 
-// receiveFrom applies the reports of a peer. Brief ones relay nothing of other nodes.
+// receiveFrom applies the reports of a peer. Brief ones relay no admissions of other nodes.
 func (no *node) receiveFrom(other *node, isBrief bool) {
 	now := no.ru.now
 	loads, sent := map[units.VMID]place.Load{}, map[units.VMID][]place.BlockID{}
--- a/internal/edge/relay/report.go
+++ b/internal/edge/relay/report.go
@@ -78,7 +78,7 @@
 	rl.pool.AddPeer(now, node)
 }
 
-// LocalReport returns this node's report for its peers, with what it relays of other nodes.
+// LocalReport returns this node's report for its peers, with the admissions of other nodes that it relays.
 func (rl *Relay) LocalReport(now time.Time) LoadReport {
 	rep := rl.BriefReport(now)
 	rl.mu.Lock()
@@ -87,7 +87,7 @@
 	return rep
 }
 
-// BriefReport returns this node's report without what it would relay of other nodes.
+// BriefReport returns this node's report without admissions of other nodes.
 func (rl *Relay) BriefReport(now time.Time) LoadReport {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -67,8 +67,8 @@
 	registerRetryDelay = time.Second
 )
 
-// exchangeStats counts this node's exchanges with its peers, for one log line in a while. served counts those that peers
-// began, and brief the ones of both that relay nothing.
+// exchangeStats counts this node's exchanges with its peers, for one log line in a while. calls are its own, served those
+// that peers began, and brief the ones among both with or as a hub.
 type exchangeStats struct {
 	calls, failed, served, brief, configsSent, configsReceived, configsDeferred atomic.Int64
 	lastError                                                                   atomic.Pointer[error]
--- a/internal/node/entry/reports.go
+++ b/internal/node/entry/reports.go
@@ -12,8 +12,8 @@
 	"lycheepick/internal/rule/watch"
 )
 
-// report returns this node's current report to its peers. A brief one relays nothing of other nodes: exchanges with hubs
-// would fill their links otherwise, and what is relayed reaches them by the other exchanges too.
+// report returns this node's current report to its peers. A brief one, for exchanges with a hub, has no admissions and
+// addresses of other nodes: they would fill the hub's link, and spread by the other exchanges too.
 func (no *Node) report(isBrief bool) pulse.Report {
 	now := time.Now()
 	rep := no.relay.BriefReport(now)
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -196,8 +196,8 @@
 	// on.
 	WantServers bool          `json:"want_servers,omitempty" cbor:"29,keyasint,omitempty"`
 	WantConfig  ConfigRequest `json:"want_config,omitempty" cbor:"30,keyasint,omitempty"`
-	// Brief is set if the caller's report relays nothing of other nodes, and asks for a reply without that. Older nodes
-	// ignore it.
+	// Brief is set if the caller's report has no admissions and addresses of other nodes, and asks for a reply without
+	// them. Older nodes ignore it.
 	Brief bool `json:"brief,omitempty" cbor:"45,keyasint,omitempty"`
 	// Crashes is what the caller knows of crashes.
 	Crashes crash.Summary `json:"crashes,omitzero" cbor:"31,keyasint,omitzero"`
