entry: a node that doesn't start closes the listeners that it has opened

Callers saw connections that were taken and never answered: a node whose readiness or peers' port is in use returned from Run with an error, but left its callers' listener open, so the kernel kept taking connections until the process ended or the garbage collector closed the listener.

The listeners are now opened together or not at all.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -259,18 +259,11 @@
 func (no *Node) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	callers, err := listen(no.settings.Listen.Callers)
-	if err != nil {
-		return err
-	}
-	ready, err := listen(no.settings.Listen.Ready)
-	if err != nil {
-		return err
-	}
-	peers, err := listen(no.settings.Listen.Peers)
+	list, err := listenAll(no.settings.Listen.Callers, no.settings.Listen.Ready, no.settings.Listen.Peers)
 	if err != nil {
 		return err
 	}
+	callers, ready, peers := list[0], list[1], list[2]
 	no.log.Info("node_started", zap.String("callers", no.settings.Listen.Callers), zap.String("peers", no.settings.Listen.Peers))
 	var wg conc.WaitGroup
 	wg.Go(func() { no.logListenerError("callers", no.door.Serve(work, callers)) })
@@ -301,6 +294,22 @@
 	return nil
 }
 
+// listenAll opens a listener at each address, all of them or none.
+func listenAll(addrs ...string) ([]net.Listener, error) {
+	var list []net.Listener
+	for _, addr := range addrs {
+		ls, err := listen(addr)
+		if err != nil {
+			for _, open := range list {
+				_ = open.Close()
+			}
+			return nil, err
+		}
+		list = append(list, ls)
+	}
+	return list, nil
+}
+
 func listen(addr string) (net.Listener, error) {
 	ls, err := net.Listen("tcp", addr)
 	return ls, fault.Wrap("entry.listen", KindListen, err)
