--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lycheepick/internal/bench/spread"
+	"lycheepick/internal/proof/ports"
 	"lycheepick/internal/rule/units"
 	"lycheepick/internal/state/answer"
 	"lycheepick/internal/state/intent"
@@ -320,3 +321,11 @@
 	}
 	return fmt.Errorf("%s", strings.Join(si.violations, "; "))
 }
+
+// addr returns the address of a process; the first call picks a free port for it.
+func (pr *procs) addr(name string) string {
+	if pr.addrs[name] == "" {
+		pr.addrs[name] = ports.Addr()
+	}
+	return pr.addrs[name]
+}
