--- a/internal/node/entry/reports_test.go
+++ b/internal/node/entry/reports_test.go
@@ -47,12 +47,12 @@
 	rm.mu.Lock()
 	defer rm.mu.Unlock()
 	second := int(time.Since(rm.epoch) / time.Second)
-	for _, by := range []map[int]int{part(rm.sent, from), part(rm.received, to)} {
+	for _, by := range []map[int]int{bytesBySecond(rm.sent, from), bytesBySecond(rm.received, to)} {
 		by[second] += bytes
 	}
 }
 
-func part(of map[units.VMID]map[int]int, id units.VMID) map[int]int {
+func bytesBySecond(of map[units.VMID]map[int]int, id units.VMID) map[int]int {
 	if of[id] == nil {
 		of[id] = map[int]int{}
 	}
