entry, platform: tests of nodes that start beside a slow store, failing

After all nodes have lost power, beside a large configuration and a store that begins its answers after 1.3 s, none of 8, 64 and 195 nodes is ready within 15 s (TestNodesAreReadyAfterPowerLoss), and none is as long as the store is slow. With the store away, busy, silent for half of the nodes, or too slow for 5 s they are (0.7 to 7.6 s). TestLargeAnswerOnSmallLink shows it on the client of the store: 2.8 MB over 10 Mbit/s are given up after 1.5 s. TestStalledAnswerOfStoreIsGivenUp passes and has to go on passing.

New cases of nodes whose peers can't call them are added to the tests of configurations and orders.

--- a/internal/node/entry/disturb_test.go
+++ b/internal/node/entry/disturb_test.go
@@ -76,3 +76,12 @@
 		no.disturb(until, func() { no.silentTo = until })
 	}
 }
+
+// deafen makes a node's listener for peers take no connection. The node itself reaches the others.
+func deafen(du time.Duration) func(*reachNode) {
+	return func(no *reachNode) {
+		no.mu.Lock()
+		defer no.mu.Unlock()
+		no.deafTo = time.Now().Add(du)
+	}
+}
--- a/internal/node/entry/ordernet_test.go
+++ b/internal/node/entry/ordernet_test.go
@@ -257,6 +257,13 @@
 			}
 		}
 	}},
+	{"the holder can't be called", false, func(_ context.Context, of *orderFleet) {
+		for _, no := range of.nodes {
+			if no.node().isLeader.Load() {
+				deafen(20 * time.Second)(no)
+			}
+		}
+	}},
 	{"half of the nodes lose power and the store is away", false, func(ctx context.Context, of *orderFleet) {
 		of.away(3 * time.Second)
 		for _, no := range of.nodes[:len(of.nodes)/2] {
--- a/internal/node/entry/reach_test.go
+++ b/internal/node/entry/reach_test.go
@@ -107,6 +107,8 @@
 		{"half of the nodes are of an older build, and the readers lose the store", false, play{
 			0: each(false, 0.5, older), 3000: each(true, 0, silence(6*time.Second)), 3050: put(2, largeConfig),
 		}},
+		{"the readers can't be called before a large one", false, play{3000: each(true, 0, deafen(6*time.Second)), 3050: put(2, largeConfig)}},
+		{"half of the nodes can't be called before a large one", false, play{3000: each(true, 0.5, deafen(6*time.Second)), 3050: put(2, largeConfig)}},
 		{"half of the nodes die before a large one", false, play{3000: each(false, 0.5, kill), 3050: put(2, largeConfig)}},
 		{"nodes join beside large ones in series", false, series(play{
 			3000: each(true, 0.3, kill), 3500: func(ctx context.Context, fl *reachFleet) {
--- a/internal/node/entry/reachnet_test.go
+++ b/internal/node/entry/reachnet_test.go
@@ -119,6 +119,10 @@
 	silentTo time.Time
 	// lateBy delays the answers of the store to this node.
 	lateBy time.Duration
+	// deafTo is the end of a time in which the node's listener for peers takes no connection.
+	deafTo time.Time
+	// busy is the number of its next calls to the store that are answered as unavailable.
+	busy int
 	// old is set for a node of a build that reports no age of its configuration.
 	old bool
 	// handledBy is the newest version by which the node's process has handled a request, regressed
@@ -143,6 +147,25 @@
 	return no.dead
 }
 
+// canBeCalled reports whether peers reach the node's process.
+func (no *reachNode) canBeCalled() bool {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	now := time.Now()
+	return !no.dead && !now.Before(no.frozenTo) && !now.Before(no.deafTo)
+}
+
+// isRefused reports whether the store is too busy for a call, and counts it.
+func (no *reachNode) isRefused() bool {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	if no.busy == 0 {
+		return false
+	}
+	no.busy--
+	return true
+}
+
 func (no *reachNode) thawsAt() time.Time {
 	no.mu.Lock()
 	defer no.mu.Unlock()
@@ -252,7 +275,7 @@
 		no.configReads.Add(1)
 	}
 	no.awaitAnswer(ctx)
-	if no.fl.store.isDown() {
+	if no.fl.store.isDown() || no.isRefused() {
 		return out, fault.New(op, stream.KindUnavailable, "down")
 	}
 	if no.isSilenced(na, began) {
@@ -283,7 +306,7 @@
 	}
 	no.up.wait(reachReportBytes)
 	time.Sleep(reachLatency)
-	if other.isDead() || time.Now().Before(other.thawsAt()) {
+	if !other.canBeCalled() {
 		<-ctx.Done()
 		return nil, fault.Wrap(op, pulse.KindFailed, ctx.Err())
 	}
