platform: listings of a store that is slower than the usual time-out are waited for longer

Callers saw no service after all nodes had lost power: no node was ready as long as the store began its answers after more than 1.5 s.

Cause: each listing was given up after 1.5 s without an answer and made again with the same time. A node that starts needs the listings of the configuration and of the servers, and can do nothing without them.

A listing has twice the time that the last one took or waited in vain, 6 s at most.

--- a/internal/node/entry/reachnet_test.go
+++ b/internal/node/entry/reachnet_test.go
@@ -103,6 +103,8 @@
 	id       units.VMID
 	fl       *reachFleet
 	up, down *link
+	// lists bounds the time until the answer to a listing begins.
+	lists stream.Patience
 
 	mu   sync.Mutex // Guards all but configReads.
 	proc *Node
@@ -199,7 +201,7 @@
 	if na != leaseStream {
 		return 0, nil
 	}
-	return reachCall(ctx, no, na, 0, func(context.Context) (units.Offset, int, error) {
+	return reachCall(ctx, no, na, reachStoreTimeout, func(context.Context) (units.Offset, int, error) {
 		end, err := no.fl.store.appendLease(at, records)
 		return end, 0, err
 	})
@@ -207,7 +209,19 @@
 
 // Newest implements stream.Store.
 func (no *reachNode) Newest(ctx context.Context, na stream.Name) (stream.Listing, error) {
-	return reachCall(ctx, no, na, 0, func(context.Context) (stream.Listing, int, error) {
+	limit, began := no.lists.Limit(), time.Now()
+	out, err := no.list(ctx, na, limit)
+	switch took := time.Since(began); {
+	case err == nil:
+		no.lists.Answered(took)
+	case took >= limit:
+		no.lists.Unanswered(limit)
+	}
+	return out, err
+}
+
+func (no *reachNode) list(ctx context.Context, na stream.Name, limit time.Duration) (stream.Listing, error) {
+	return reachCall(ctx, no, na, limit, func(context.Context) (stream.Listing, int, error) {
 		if na == nodesStream {
 			return stream.Listing{Items: no.fl.addresses}, reachReportBytes, nil
 		}
@@ -231,7 +245,7 @@
 
 // Read implements stream.Store.
 func (no *reachNode) Read(ctx context.Context, na stream.Name, from units.Offset, wait time.Duration) (stream.Page, error) {
-	return reachCall(ctx, no, na, wait, func(ctx context.Context) (stream.Page, int, error) {
+	return reachCall(ctx, no, na, reachStoreTimeout+wait, func(ctx context.Context) (stream.Page, int, error) {
 		st, until := no.fl.store, time.After(wait)
 		for {
 			st.mu.Lock()
@@ -262,9 +276,9 @@
 const storeExpansion = 5
 
 // reachCall makes one call to the store over the node's link.
-func reachCall[A any](ctx context.Context, no *reachNode, na stream.Name, wait time.Duration, call func(context.Context) (A, int, error)) (out A, err error) {
+func reachCall[A any](ctx context.Context, no *reachNode, na stream.Name, within time.Duration, call func(context.Context) (A, int, error)) (out A, err error) {
 	const op = "entry.reachCall"
-	begins, cancel := context.WithTimeout(ctx, reachStoreTimeout+wait)
+	begins, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	began := time.Now()
 	no.hold(begins)
@@ -410,7 +424,7 @@
 		fl.addresses = append(fl.addresses, stream.Keyed{Key: id, Value: own})
 	}
 	for num := range count {
-		no := &reachNode{id: units.VMID(fmt.Sprintf("node-%d", num)), fl: fl, up: &link{bytesPerSecond: reachLink}, down: &link{bytesPerSecond: reachLink}}
+		no := &reachNode{id: units.VMID(fmt.Sprintf("node-%d", num)), fl: fl, lists: stream.Patience{Least: reachStoreTimeout, Most: 4 * reachStoreTimeout}, up: &link{bytesPerSecond: reachLink}, down: &link{bytesPerSecond: reachLink}}
 		fl.nodes = append(fl.nodes, no)
 		fl.byAddress[reachAddress(num)] = no
 	}
--- a/internal/node/entry/startnet_test.go
+++ b/internal/node/entry/startnet_test.go
@@ -22,6 +22,7 @@
 	{"the store is well", false, func(*reachFleet) {}},
 	{"the store is away", false, func(fl *reachFleet) { outage(5*time.Second)(context.Background(), fl) }},
 	{"the store is slow", true, func(fl *reachFleet) { fl.each(true, 1, delay(1300*time.Millisecond, 2*recoveryTime)) }},
+	{"the store is very slow", true, func(fl *reachFleet) { fl.each(true, 1, delay(2200*time.Millisecond, 2*recoveryTime)) }},
 	{"the store is too slow, then well", false, func(fl *reachFleet) { fl.each(true, 1, delay(1600*time.Millisecond, 5*time.Second)) }},
 	{"the store is busy", false, func(fl *reachFleet) {
 		for _, no := range fl.nodes {
