entry: only listings whose calls are hedged wait longer for a slow store

The client of the store allowed all listings up to 6 s after one had no answer. Those of the nodes' addresses and of the lease are not hedged: after an outage in which the store is silent they could hang for that time on a connection that is gone, where they took 1.5 s before. The caller now says how long it waits: the readers of the configuration and of the servers, whose reads are hedged while the store is lost, have a Patience; the others 1.5 s as before.

--- a/internal/node/entry/config_test.go
+++ b/internal/node/entry/config_test.go
@@ -83,7 +83,7 @@
 	return 0, nil
 }
 
-func (st *nodeStore) Newest(context.Context, stream.Name) (stream.Listing, error) {
+func (st *nodeStore) Newest(context.Context, stream.Name, time.Duration) (stream.Listing, error) {
 	return stream.Listing{Items: st.nodes, End: units.Offset(len(st.nodes))}, nil
 }
 
--- a/internal/node/entry/duty.go
+++ b/internal/node/entry/duty.go
@@ -162,7 +162,7 @@
 // loadLease reads the newest lease record.
 func (no *Node) loadLease(ctx context.Context) error {
 	ld := &no.leader
-	list, err := no.platform.Store.Newest(ctx, leaseStream)
+	list, err := no.platform.Store.Newest(ctx, leaseStream, 0)
 	if err != nil {
 		return err
 	}
--- a/internal/node/entry/duty_test.go
+++ b/internal/node/entry/duty_test.go
@@ -26,7 +26,7 @@
 	return st.end - 1, nil
 }
 
-func (st *leaseStore) Newest(context.Context, stream.Name) (stream.Listing, error) {
+func (st *leaseStore) Newest(context.Context, stream.Name, time.Duration) (stream.Listing, error) {
 	st.returned++
 	return stream.Listing{Items: []stream.Keyed{st.record(st.end - 1)}, End: st.end}, nil
 }
--- a/internal/node/entry/dutynet_test.go
+++ b/internal/node/entry/dutynet_test.go
@@ -281,7 +281,7 @@
 }
 
 // Newest implements stream.Store.
-func (pr *dutyProcess) Newest(_ context.Context, na stream.Name) (out stream.Listing, err error) {
+func (pr *dutyProcess) Newest(_ context.Context, na stream.Name, _ time.Duration) (out stream.Listing, err error) {
 	err = pr.storeCall(func(st *dutyStore) error {
 		out.End, out.Era = units.Offset(len(st.records)), st.era
 		if len(st.records) > 0 {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -122,6 +122,8 @@
 	registry  metrics.Registry
 	firstByte metrics.Histogram
 
+	// lists bounds the time until the answer to a listing of the store begins.
+	lists         stream.Patience
 	config        atomic.Pointer[activeConfig]
 	serversLoaded atomic.Bool // The list of servers has been loaded.
 	leaving       atomic.Bool
@@ -184,7 +186,7 @@
 	no := &Node{
 		settings: set, platform: pf, log: log, start: now, incarnation: now.UnixNano(),
 		registry: metrics.NewRegistry(), firstByte: metrics.NewHistogram(metrics.NewExpDecaySample(256, 0.015)),
-		servers: server.NewRegistry(set.Timing.Heartbeat()), records: newRecords(), watch: watch.New(set.VM.ID, set.Timing.ChangeBound()), peers: map[units.VMID]*peer{},
+		servers: server.NewRegistry(set.Timing.Heartbeat()), records: newRecords(), lists: stream.Patience{Least: listTimeout, Most: maxListTimeout}, watch: watch.New(set.VM.ID, set.Timing.ChangeBound()), peers: map[units.VMID]*peer{},
 		usageBook: usage.NewCounter(set.Timing.UsageWindow()), clock: clock.New(),
 		offered: map[units.TargetID]pulse.Demand{}, peerWork: map[units.VMID]*peerWork{}, orders: map[units.TargetID]rolloutOrder{},
 	}
--- a/internal/node/entry/follow.go
+++ b/internal/node/entry/follow.go
@@ -23,6 +23,10 @@
 	// relies it doubles with each failure up to maxStoreRetryDelay: an outage ends for the readers first.
 	storeRetryDelay    = 250 * time.Millisecond
 	maxStoreRetryDelay = 2 * time.Second
+	// listTimeout is the time within which the answer to a listing has to begin, maxListTimeout while the store is
+	// slower than that: a node that starts can do nothing without one.
+	listTimeout    = 1500 * time.Millisecond
+	maxListTimeout = 6 * time.Second
 	// restartDelay is the pause before a read that another reader has cancelled is made again.
 	restartDelay = 50 * time.Millisecond
 )
@@ -80,10 +84,23 @@
 	return min(maxStoreRetryDelay, storeRetryDelay<<min(*failures-1, 8))
 }
 
+// listNewest lists a stream for a task of readStore, which hedges it. So it may wait for longer than other calls.
+func (no *Node) listNewest(ctx context.Context, na stream.Name) (stream.Listing, error) {
+	within, began := no.lists.Limit(), time.Now()
+	list, err := no.platform.Store.Newest(ctx, na, within)
+	switch took := time.Since(began); {
+	case err == nil:
+		no.lists.Answered(took)
+	case took >= within:
+		no.lists.Unanswered(within)
+	}
+	return list, err
+}
+
 // loadConfig reads the newest of the operators' records. isFirst is set until it has succeeded once.
 func (no *Node) loadConfig(ctx context.Context, isFirst bool) (units.Offset, error) {
 	asked := time.Now()
-	list, err := no.platform.Store.Newest(ctx, no.platform.OperatorStream)
+	list, err := no.listNewest(ctx, no.platform.OperatorStream)
 	if err != nil {
 		return -1, err
 	}
@@ -219,7 +236,7 @@
 
 func (no *Node) loadServers(ctx context.Context) (bool, error) {
 	asked := time.Now()
-	list, err := no.platform.Store.Newest(ctx, no.platform.ServerStream)
+	list, err := no.listNewest(ctx, no.platform.ServerStream)
 	if err != nil {
 		return false, err
 	}
--- a/internal/node/entry/follow_test.go
+++ b/internal/node/entry/follow_test.go
@@ -29,7 +29,7 @@
 	late time.Duration
 }
 
-func (st *recordStore) Newest(context.Context, stream.Name) (stream.Listing, error) {
+func (st *recordStore) Newest(context.Context, stream.Name, time.Duration) (stream.Listing, error) {
 	latest := map[string]stream.Keyed{}
 	for off, rec := range st.records {
 		it, _ := splitRecord(units.Offset(off), []byte(rec))
--- a/internal/node/entry/gap_test.go
+++ b/internal/node/entry/gap_test.go
@@ -109,7 +109,7 @@
 	return nil
 }
 
-func (st *storePath) Newest(context.Context, stream.Name) (stream.Listing, error) {
+func (st *storePath) Newest(context.Context, stream.Name, time.Duration) (stream.Listing, error) {
 	out := stream.Listing{End: st.end(), Era: st.era}
 	for _, it := range st.listing() {
 		out.Items = append(out.Items, it)
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -146,7 +146,7 @@
 		_, err := no.platform.Store.Append(ctx, nodesStream, stream.Unconditional, no.platform.EncodeRecord(string(no.settings.VM.ID), own))
 		var list stream.Listing
 		if err == nil {
-			list, err = no.platform.Store.Newest(ctx, nodesStream)
+			list, err = no.platform.Store.Newest(ctx, nodesStream, 0)
 		}
 		if err == nil {
 			no.addPeers(list.Items)
--- a/internal/node/entry/reachnet_test.go
+++ b/internal/node/entry/reachnet_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"encoding/json"
@@ -103,8 +104,6 @@
 	id       units.VMID
 	fl       *reachFleet
 	up, down *link
-	// lists bounds the time until the answer to a listing begins.
-	lists stream.Patience
 
 	mu   sync.Mutex // Guards all but configReads.
 	proc *Node
@@ -208,20 +207,8 @@
 }
 
 // Newest implements stream.Store.
-func (no *reachNode) Newest(ctx context.Context, na stream.Name) (stream.Listing, error) {
-	limit, began := no.lists.Limit(), time.Now()
-	out, err := no.list(ctx, na, limit)
-	switch took := time.Since(began); {
-	case err == nil:
-		no.lists.Answered(took)
-	case took >= limit:
-		no.lists.Unanswered(limit)
-	}
-	return out, err
-}
-
-func (no *reachNode) list(ctx context.Context, na stream.Name, limit time.Duration) (stream.Listing, error) {
-	return reachCall(ctx, no, na, limit, func(context.Context) (stream.Listing, int, error) {
+func (no *reachNode) Newest(ctx context.Context, na stream.Name, within time.Duration) (stream.Listing, error) {
+	return reachCall(ctx, no, na, cmp.Or(within, reachStoreTimeout), func(context.Context) (stream.Listing, int, error) {
 		if na == nodesStream {
 			return stream.Listing{Items: no.fl.addresses}, reachReportBytes, nil
 		}
@@ -424,7 +411,7 @@
 		fl.addresses = append(fl.addresses, stream.Keyed{Key: id, Value: own})
 	}
 	for num := range count {
-		no := &reachNode{id: units.VMID(fmt.Sprintf("node-%d", num)), fl: fl, lists: stream.Patience{Least: reachStoreTimeout, Most: 4 * reachStoreTimeout}, up: &link{bytesPerSecond: reachLink}, down: &link{bytesPerSecond: reachLink}}
+		no := &reachNode{id: units.VMID(fmt.Sprintf("node-%d", num)), fl: fl, up: &link{bytesPerSecond: reachLink}, down: &link{bytesPerSecond: reachLink}}
 		fl.nodes = append(fl.nodes, no)
 		fl.byAddress[reachAddress(num)] = no
 	}
--- a/internal/node/entry/rollout.go
+++ b/internal/node/entry/rollout.go
@@ -306,11 +306,11 @@
 // loadRollouts reads the recorded phases and the statuses.
 func (no *Node) loadRollouts(ctx context.Context) error {
 	ro := &no.rollouts
-	records, err := no.platform.Store.Newest(ctx, rolloutStream)
+	records, err := no.platform.Store.Newest(ctx, rolloutStream, 0)
 	if err != nil {
 		return err
 	}
-	statuses, err := no.platform.Store.Newest(ctx, no.platform.StatusStream)
+	statuses, err := no.platform.Store.Newest(ctx, no.platform.StatusStream, 0)
 	if err != nil {
 		return err
 	}
@@ -350,7 +350,7 @@
 	if known == 0 {
 		return nil
 	}
-	list, err := no.platform.Store.Newest(ctx, rolloutStream)
+	list, err := no.listNewest(ctx, rolloutStream)
 	if err == nil {
 		no.enterRecorded(list.Items, func(units.TargetID, roll.State) {})
 	}
--- a/internal/plat/stream/stream.go
+++ b/internal/plat/stream/stream.go
@@ -71,8 +71,8 @@
 	// the first. It fails with KindExpired if the offset isn't stored any more, or if the
 	// store's era has changed since the stream was listed. In the first case Page.First is set.
 	Read(ctx context.Context, na Name, from units.Offset, wait time.Duration) (Page, error)
-	// Newest lists the newest record of each key.
-	Newest(ctx context.Context, na Name) (Listing, error)
+	// Newest lists the newest record of each key. The answer has to begin within a time, 0 for the usual one.
+	Newest(ctx context.Context, na Name, within time.Duration) (Listing, error)
 }
 
 // Unconditional is the offset to pass to Append for an unconditional append.
