--- a/internal/node/entry/startnet_test.go
+++ b/internal/node/entry/startnet_test.go
@@ -24,6 +24,12 @@
 	{"the store is slow", true, func(fl *reachFleet) { fl.each(true, 1, delay(1300*time.Millisecond, 2*recoveryTime)) }},
 	{"the store is very slow", true, func(fl *reachFleet) { fl.each(true, 1, delay(2200*time.Millisecond, 2*recoveryTime)) }},
 	{"the store is too slow, then well", false, func(fl *reachFleet) { fl.each(true, 1, delay(1600*time.Millisecond, 5*time.Second)) }},
+	{"the store is slow, and comes and goes", true, func(fl *reachFleet) {
+		fl.each(true, 1, delay(800*time.Millisecond, 2*recoveryTime))
+		for at := time.Duration(0); at < 2*recoveryTime; at += 4 * time.Second {
+			time.AfterFunc(at, func() { outage(time.Second)(context.Background(), fl) })
+		}
+	}},
 	{"the store is busy", false, func(fl *reachFleet) {
 		for _, no := range fl.nodes {
 			no.mu.Lock()
