--- a/internal/node/entry/startnet_test.go
+++ b/internal/node/entry/startnet_test.go
@@ -53,38 +53,41 @@
 				t.Parallel()
 				running <- struct{}{}
 				defer func() { <-running }()
-				synctest.Test(t, func(t *testing.T) {
-					ctx, stop := context.WithCancel(t.Context())
-					fl := newReachFleet(ctx, nodes, 1)
-					defer fl.wg.Wait()
-					defer stop()
-					time.Sleep(5 * time.Second)
-					fl.store.putConfig(2, 2*largeConfig)
-					time.Sleep(time.Second)
-					for _, no := range fl.nodes {
-						kill(no)
-					}
-					time.Sleep(1400 * time.Millisecond)
-					sc.play(fl)
-					began := time.Now()
-					for num := range fl.nodes {
-						fl.start(ctx, num)
-					}
-					ready := 0
-					for ready < nodes && time.Since(began) < recoveryTime {
-						time.Sleep(20 * time.Millisecond)
-						ready = fl.ready()
-					}
-					t.Logf("%d of %d nodes were ready after %s", ready, nodes, time.Since(began))
-					if ready < nodes {
-						t.Errorf("%d of %d nodes were ready %s after their start", ready, nodes, recoveryTime)
-					}
-				})
+				synctest.Test(t, func(t *testing.T) { playStart(t, nodes, sc.play) })
 			})
 		}
 	}
 }
 
+// playStart lets all nodes lose power, and start again once play has changed the state of the store.
+func playStart(t *testing.T, nodes int, play func(*reachFleet)) {
+	ctx, stop := context.WithCancel(t.Context())
+	fl := newReachFleet(ctx, nodes, 1)
+	defer fl.wg.Wait()
+	defer stop()
+	time.Sleep(5 * time.Second)
+	fl.store.putConfig(2, 2*largeConfig)
+	time.Sleep(time.Second)
+	for _, no := range fl.nodes {
+		kill(no)
+	}
+	time.Sleep(1400 * time.Millisecond)
+	play(fl)
+	began := time.Now()
+	for num := range fl.nodes {
+		fl.start(ctx, num)
+	}
+	ready := 0
+	for ready < nodes && time.Since(began) < recoveryTime {
+		time.Sleep(20 * time.Millisecond)
+		ready = fl.ready()
+	}
+	t.Logf("%d of %d nodes were ready after %s", ready, nodes, time.Since(began))
+	if ready < nodes {
+		t.Errorf("%d of %d nodes were ready %s after their start", ready, nodes, recoveryTime)
+	}
+}
+
 // ready returns the number of nodes that can serve by the newest configuration.
 func (fl *reachFleet) ready() (out int) {
 	for _, no := range fl.nodes {
